Bring up the thin whole path as separate processes

Cause: nothing existed. The other issues need a path from a caller to an engine and back, and packages with interfaces to work behind.

Nothing was measured for speed or under faults yet.

Known gaps: streams of a dead companion are not noticed, keyed requests are not deduplicated across restarts, admission is a plain tiered queue.

--- /dev/null
+++ b/internal/command/companion.go
@@ -0,0 +1,89 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"filbertusher/internal/companion"
+	"filbertusher/internal/endpoint"
+	"filbertusher/internal/ledger"
+	"filbertusher/internal/link"
+	"filbertusher/internal/record"
+	"filbertusher/internal/waiting"
+	"filbertusher/pkg/usher"
+)
+
+// companionProcess is the settings of the companion.
+type companionProcess struct {
+	process
+	listen          string
+	endpointName    string
+	endpointAddress string
+	protocol        string
+	running         int
+	waiting         int
+	retention       time.Duration
+}
+
+func newCompanionCommand() *Command {
+	command := New("companion", "stand beside an endpoint and send it its work")
+	p := &companionProcess{}
+	p.declare(command.Settings)
+	command.Settings.Address(&p.listen, "listen", "127.0.0.1:9090", true, "where entries reach this process")
+	command.Settings.Text(&p.endpointName, "endpoint", "", true, "the name of the endpoint's declaration")
+	command.Settings.Address(&p.endpointAddress, "endpoint-address", "", true, "where the endpoint itself is reached")
+	command.Settings.Choice(&p.protocol, "protocol", string(usher.ServiceModel), []string{string(usher.ServiceModel), string(usher.ServicePlain)}, "how the endpoint is spoken to")
+	command.Settings.Int(&p.running, "max-running", 32, 1, 4096, "how many requests may be in the endpoint at once")
+	command.Settings.Int(&p.waiting, "max-waiting", 10000, 0, 1000000, "how many requests may wait for the endpoint")
+	command.Settings.Duration(&p.retention, "retention", 10*time.Minute, time.Second, 24*time.Hour, "how long ended requests are remembered")
+	command.Run = p.run
+	return command
+}
+
+func (p *companionProcess) backend() usher.Backend {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: p.running, DisableCompression: true}}
+	if p.protocol == string(usher.ServicePlain) {
+		return endpoint.NewPlain(p.endpointAddress, client)
+	}
+	return endpoint.NewModel(p.endpointAddress, client)
+}
+
+func (p *companionProcess) run(signalled context.Context, _, errOut io.Writer) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ctx, err := p.start(ctx, errOut)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", p.listen)
+	if err != nil {
+		return err
+	}
+	name := usher.EndpointName(p.endpointName)
+	beside := companion.New(companion.Options{Endpoint: name, Incarnation: p.incarnation, Fence: 1}, companion.Dependencies{
+		Config: p.config, Backend: p.backend(),
+		Admission: waiting.New(name, waiting.Options{Running: p.running, Waiting: p.waiting}),
+		Ledger:    ledger.New(p.retention), Recorder: record.NewMemory(recordLimit), Log: p.log,
+	})
+	p.admin.Section("companion", beside.State)
+	server := link.NewServer(listener)
+	if err := server.Register("Companion", companion.NewRPC(beside)); err != nil {
+		return err
+	}
+	p.group.Go(func() error { return server.Serve(ctx) })
+	p.log.Info().Str("listen", listener.Addr().String()).Msg("listening")
+	go p.ready(ctx)
+	go func() {
+		p.awaitStop(signalled)
+		limit, stop := context.WithTimeout(ctx, p.drainTimeout)
+		defer stop()
+		if err := beside.Drain(limit); err != nil {
+			p.log.Warn().Err(err).Msg("drainTimeout")
+		}
+		cancel()
+	}()
+	return p.group.Wait()
+}
--- /dev/null
+++ b/internal/command/entry.go
@@ -0,0 +1,76 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"filbertusher/internal/entry"
+	"filbertusher/internal/placement"
+	"filbertusher/internal/record"
+	"filbertusher/pkg/usher"
+)
+
+// recordLimit is how many decisions a process keeps in memory.
+const recordLimit = 100000
+
+// entryProcess is the settings of the entry.
+type entryProcess struct {
+	process
+	listen         string
+	maxBody        int
+	maxTimeout     time.Duration
+	bodyTimeout    time.Duration
+	readinessDelay time.Duration
+}
+
+func newEntryCommand() *Command {
+	command := New("entry", "serve callers")
+	p := &entryProcess{}
+	p.declare(command.Settings)
+	command.Settings.Address(&p.listen, "listen", "127.0.0.1:8080", true, "where callers reach this process")
+	command.Settings.Int(&p.maxBody, "max-body", 8<<20, 1<<10, 256<<20, "the largest body of a request, in bytes")
+	command.Settings.Duration(&p.maxTimeout, "max-timeout", 10*time.Minute, time.Second, 24*time.Hour, "the longest timeout a caller may ask for")
+	command.Settings.Duration(&p.bodyTimeout, "body-timeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute, "how long a caller may take to send a request")
+	command.Settings.Duration(&p.readinessDelay, "readiness-delay", time.Second, 0, time.Minute, "how long a planned stop waits for the balancer to notice")
+	command.Run = p.run
+	return command
+}
+
+func (p *entryProcess) run(signalled context.Context, _, errOut io.Writer) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ctx, err := p.start(ctx, errOut)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", p.listen)
+	if err != nil {
+		return err
+	}
+	placer := placement.New(p.config, usher.AvailabilityZone(p.zone))
+	recorder := record.NewMemory(recordLimit)
+	server := entry.New(entry.Options{
+		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout,
+	}, entry.Dependencies{Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
+	p.admin.Section("entry", server.State)
+	p.admin.Section("placement", placer.State)
+	p.admin.Section("record", recorder.State)
+
+	serving, stopServing := context.WithCancel(context.Background())
+	defer stopServing()
+	p.group.Go(func() error { return server.Run(ctx) })
+	p.group.Go(func() error {
+		defer cancel()
+		return server.Serve(serving, listener, p.drainTimeout)
+	})
+	p.log.Info().Str("listen", listener.Addr().String()).Msg("listening")
+	go p.ready(ctx)
+	go func() {
+		p.awaitStop(signalled)
+		time.Sleep(p.readinessDelay)
+		stopServing()
+	}()
+	return p.group.Wait()
+}
--- /dev/null
+++ b/internal/command/process.go
@@ -0,0 +1,96 @@
+package command
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"filbertusher/internal/admin"
+	"filbertusher/internal/config"
+	"filbertusher/internal/platform"
+	"filbertusher/internal/settings"
+	"filbertusher/internal/telemetry"
+	"filbertusher/pkg/usher"
+)
+
+// process is what every long-running process has: its settings of the store
+// and of the operators' listener, a log, and the configuration it follows.
+type process struct {
+	storeAddress string
+	adminAddress string
+	zone         string
+	logLevel     string
+	drainTimeout time.Duration
+
+	log         zerolog.Logger
+	incarnation usher.Incarnation
+	store       *platform.Client
+	config      *config.Holder
+	admin       *admin.Server
+	group       *errgroup.Group
+}
+
+// declare adds the settings that every process has.
+func (p *process) declare(set *settings.Set) {
+	set.Address(&p.storeAddress, "store", "", true, "the platform's object API")
+	set.Address(&p.adminAddress, "admin", "127.0.0.1:0", true, "where operators reach this process")
+	set.Text(&p.zone, "zone", "", true, "the availability zone of this instance")
+	set.Choice(&p.logLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "the least important level that is logged")
+	set.Duration(&p.drainTimeout, "drain-timeout", 30*time.Second, 0, time.Hour, "how long a planned stop waits for requests in flight")
+}
+
+// storeConnections bounds the idle connections to the store.
+const storeConnections = 4
+
+// start opens the operators' listener and follows the configuration.
+func (p *process) start(ctx context.Context, errOut io.Writer) (context.Context, error) {
+	level, err := zerolog.ParseLevel(p.logLevel)
+	if err != nil {
+		return ctx, err
+	}
+	p.log = telemetry.NewLogger(errOut, level)
+	p.incarnation = usher.Incarnation(uuid.NewString())
+	p.store = platform.New(p.storeAddress, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeConnections}})
+	p.config = config.NewHolder()
+	listener, err := net.Listen("tcp", p.adminAddress)
+	if err != nil {
+		return ctx, err
+	}
+	p.admin = admin.New(listener)
+	group, ctx := errgroup.WithContext(ctx)
+	p.group = group
+	group.Go(func() error { return p.admin.Serve(ctx) })
+	group.Go(func() error { return config.NewFollower(p.store, p.config, p.log).Run(ctx) })
+	p.log.Info().Str("admin", listener.Addr().String()).Str("incarnation", string(p.incarnation)).Msg("started")
+	return ctx, nil
+}
+
+// ready says that the process may get work once it knows a configuration.
+func (p *process) ready(ctx context.Context) {
+	for p.config.Current().Version == 0 {
+		select {
+		case <-p.config.Changed():
+		case <-ctx.Done():
+			return
+		}
+	}
+	p.admin.SetReady(true)
+	p.log.Info().Msg("ready")
+}
+
+// awaitStop returns when a planned stop was asked for, by a signal or by an
+// operator.
+func (p *process) awaitStop(signalled context.Context) {
+	select {
+	case <-signalled.Done():
+	case <-p.admin.Stopped():
+	}
+	p.admin.SetReady(false)
+	p.log.Info().Msg("stopping")
+}
--- /dev/null
+++ b/internal/companion/rpc.go
@@ -0,0 +1,43 @@
+package companion
+
+import (
+	"filbertusher/internal/wire"
+	"filbertusher/pkg/usher"
+)
+
+// RPC is the companion as its peers see it; net/rpc calls its methods.
+type RPC struct{ companion *Companion }
+
+// NewRPC returns the remote methods of a companion.
+func NewRPC(companion *Companion) *RPC { return &RPC{companion: companion} }
+
+// Submit offers a request with its body.
+func (r *RPC) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
+	*reply = r.companion.submit(args)
+	return nil
+}
+
+// Fetch returns the outcome of a request that was submitted before.
+func (r *RPC) Fetch(args *wire.FetchArgs, reply *wire.SubmitReply) error {
+	entry, ok := r.companion.Ledger.Find(args.ID)
+	if !ok {
+		*reply = r.companion.refused(usher.NewUnknown(usher.RefusalEndpointFailed, "the endpoint does not know the request"))
+		return nil
+	}
+	*reply = r.companion.outcome(entry)
+	return nil
+}
+
+// Withdraw takes a request back.
+func (r *RPC) Withdraw(args *wire.WithdrawArgs, reply *wire.WithdrawReply) error {
+	reply.Outcome = r.companion.Ledger.Withdraw(args.ID, args.Cancel)
+	reply.Status = r.companion.status()
+	return nil
+}
+
+// Collect waits for events of the caller's streams.
+func (r *RPC) Collect(args *wire.CollectArgs, reply *wire.CollectReply) error {
+	reply.Batch, reply.Events = r.companion.outlets.of(args.Incarnation).collect(args.Ack, args.Wait)
+	reply.Status = r.companion.status()
+	return nil
+}
--- /dev/null
+++ b/internal/endpoint/model.go
@@ -0,0 +1,159 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"iter"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/tmaxmax/go-sse"
+
+	"filbertusher/pkg/usher"
+)
+
+// doneMark is the data of the event that ends a whole stream.
+const doneMark = "[DONE]"
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// Model is a model engine.
+type Model struct{ client }
+
+var _ usher.Backend = (*Model)(nil)
+
+// NewModel returns the engine at address, an IP address and port.
+func NewModel(address string, httpClient *http.Client) *Model {
+	return &Model{client{base: "http://" + address, http: httpClient}}
+}
+
+// Call implements usher.Backend. It also reads the usage from the answer.
+func (m *Model) Call(ctx context.Context, id usher.RequestID, fence usher.Fence, call *usher.Call) (*usher.Answer, error) {
+	answer, err := m.client.Call(ctx, id, fence, call)
+	if err == nil && answer.Succeeded() {
+		answer.Usage = readUsage(answer.Body)
+	}
+	return answer, err
+}
+
+// usageBody is the part of an answer or event that reports the work in it.
+type usageBody struct {
+	Usage struct {
+		PromptTokens     usher.Tokens `json:"prompt_tokens"`
+		CompletionTokens usher.Tokens `json:"completion_tokens"`
+		CachedTokens     usher.Tokens `json:"cached_tokens"`
+	} `json:"usage"`
+}
+
+// readUsage returns no usage for an answer that reports none.
+func readUsage(body []byte) usher.Usage {
+	var parsed usageBody
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return usher.Usage{}
+	}
+	return usher.Usage{
+		PromptTokens: parsed.Usage.PromptTokens,
+		CachedTokens: parsed.Usage.CachedTokens,
+		AnswerTokens: parsed.Usage.CompletionTokens,
+	}
+}
+
+// Stream implements usher.Backend.
+func (m *Model) Stream(ctx context.Context, id usher.RequestID, fence usher.Fence, call *usher.Call) (usher.EventStream, *usher.Answer, error) {
+	response, err := m.send(ctx, id, fence, call)
+	if err != nil {
+		return nil, nil, err
+	}
+	if !isEventStream(response) {
+		answer, err := readAnswer(response)
+		return nil, answer, err
+	}
+	return newEventStream(response.Body), nil, nil
+}
+
+// Resume implements usher.Backend.
+func (m *Model) Resume(ctx context.Context, id usher.RequestID, from uint64) (usher.EventStream, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, m.requestURL(id)+"/events", nil)
+	if err != nil {
+		return nil, &usher.BackendError{Operation: "resume", Cause: err}
+	}
+	if from > 0 {
+		request.Header.Set(headerLastEventID, strconv.FormatUint(from-1, 10))
+	}
+	response, err := m.http.Do(request)
+	if err != nil {
+		return nil, &usher.BackendError{Operation: "resume", Reached: !isDialError(err), Cause: err}
+	}
+	if !isEventStream(response) {
+		_ = response.Body.Close()
+		return nil, &usher.BackendError{Operation: "resume", Reached: true, Cause: &StatusError{Status: response.StatusCode}}
+	}
+	return newEventStream(response.Body), nil
+}
+
+// Cancel implements usher.Backend. An engine that does not know the request
+// has nothing left to cancel, which is no error.
+func (m *Model) Cancel(ctx context.Context, id usher.RequestID) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, m.requestURL(id), nil)
+	if err != nil {
+		return &usher.BackendError{Operation: "cancel", Cause: err}
+	}
+	response, err := m.http.Do(request)
+	if err != nil {
+		return &usher.BackendError{Operation: "cancel", Reached: !isDialError(err), Cause: err}
+	}
+	_ = response.Body.Close()
+	return nil
+}
+
+func (m *Model) requestURL(id usher.RequestID) string {
+	return m.base + "/v1/requests/" + url.PathEscape(string(id))
+}
+
+func isEventStream(response *http.Response) bool {
+	return response.StatusCode == http.StatusOK &&
+		strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
+}
+
+// eventStream reads a text/event-stream body.
+type eventStream struct {
+	body io.ReadCloser
+	next func() (sse.Event, error, bool)
+	stop func()
+}
+
+func newEventStream(body io.ReadCloser) *eventStream {
+	next, stop := iter.Pull2(sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEvent}))
+	return &eventStream{body: body, next: next, stop: stop}
+}
+
+// Next implements usher.EventStream. A body that ends before the end mark is
+// a broken stream, however cleanly the connection was closed.
+func (s *eventStream) Next() (usher.StreamEvent, error) {
+	event, err, ok := s.next()
+	if !ok {
+		err = io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return usher.StreamEvent{}, &usher.BackendError{Operation: "read stream", Reached: true, Cause: err}
+	}
+	if event.Data == doneMark {
+		return usher.StreamEvent{}, io.EOF
+	}
+	offset, err := strconv.ParseUint(event.LastEventID, 10, 64)
+	if err != nil {
+		return usher.StreamEvent{}, &usher.BackendError{Operation: "read stream", Reached: true, Cause: err}
+	}
+	return usher.StreamEvent{Offset: offset, Data: []byte(event.Data)}, nil
+}
+
+// Close implements usher.EventStream.
+func (s *eventStream) Close() error {
+	err := s.body.Close()
+	s.stop()
+	return err
+}
--- /dev/null
+++ b/internal/endpoint/plain.go
@@ -0,0 +1,34 @@
+package endpoint
+
+import (
+	"context"
+	"net/http"
+
+	"filbertusher/pkg/usher"
+)
+
+// Plain is a plain HTTP service. It has no streams and can't cancel.
+type Plain struct{ client }
+
+var _ usher.Backend = (*Plain)(nil)
+
+// NewPlain returns the service at address, an IP address and port.
+func NewPlain(address string, httpClient *http.Client) *Plain {
+	return &Plain{client{base: "http://" + address, http: httpClient}}
+}
+
+// Stream implements usher.Backend: the answer is always whole.
+func (p *Plain) Stream(ctx context.Context, id usher.RequestID, fence usher.Fence, call *usher.Call) (usher.EventStream, *usher.Answer, error) {
+	answer, err := p.Call(ctx, id, fence, call)
+	return nil, answer, err
+}
+
+// Resume implements usher.Backend.
+func (p *Plain) Resume(context.Context, usher.RequestID, uint64) (usher.EventStream, error) {
+	return nil, &usher.BackendError{Operation: "resume", Cause: &UnsupportedError{Operation: "resume"}}
+}
+
+// Cancel implements usher.Backend.
+func (p *Plain) Cancel(context.Context, usher.RequestID) error {
+	return &usher.BackendError{Operation: "cancel", Cause: &UnsupportedError{Operation: "cancel"}}
+}
--- /dev/null
+++ b/internal/entry/accept.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"filbertusher/internal/config"
+	"filbertusher/pkg/usher"
+)
+
+// Headers of the callers' side. docs/api.md describes them.
+const (
+	headerTier      = "Filbertusher-Tier"
+	headerTimeout   = "Filbertusher-Timeout"
+	headerKey       = "Idempotency-Key"
+	headerRequestID = "X-Request-Id"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 255
+
+// request is a caller's request while the entry works on it.
+type request struct {
+	usher.RequestHeader
+	call       usher.Call
+	tokenName  string
+	snapshot   *config.Snapshot
+	service    *usher.Service
+	started    time.Time
+	candidates []usher.Candidate
+	endpoint   usher.EndpointName
+}
+
+// accept makes a request of what the caller sent, except for the body, or
+// returns why it is refused. Nothing costly is done before the caller is known.
+func (e *Entry) accept(r *http.Request) (*request, *usher.Refusal) {
+	snapshot := e.Config.Current()
+	if snapshot.Version == 0 {
+		return nil, usher.NewRefusal(usher.RefusalNotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+	}
+	identity, refusal := authenticate(snapshot, r)
+	if refusal != nil {
+		return nil, refusal
+	}
+	accepted := &request{snapshot: snapshot, tokenName: identity.TokenName, started: time.Now()}
+	accepted.ID = e.ids.request()
+	accepted.Workspace = identity.Workspace.Name
+	if refusal := accepted.chooseTier(r.Header.Get(headerTier), identity.Workspace); refusal != nil {
+		return nil, refusal
+	}
+	if refusal := accepted.chooseDeadline(r.Header.Get(headerTimeout), e.options.MaxTimeout); refusal != nil {
+		return nil, refusal
+	}
+	accepted.Key = usher.IdempotencyKey(r.Header.Get(headerKey))
+	if len(accepted.Key) > maxKeyBytes {
+		return nil, usher.NewRefusal(usher.RefusalBadRequest, headerKey+" is longer than "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	return accepted, nil
+}
+
+func authenticate(snapshot *config.Snapshot, r *http.Request) (config.Identity, *usher.Refusal) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return config.Identity{}, usher.NewRefusal(usher.RefusalUnauthorized, "a bearer token is needed")
+	}
+	identity, ok := snapshot.Identify(usher.DigestOf([]byte(token)))
+	if !ok {
+		return config.Identity{}, usher.NewRefusal(usher.RefusalUnauthorized, "the bearer token is unknown")
+	}
+	return identity, nil
+}
+
+func (r *request) chooseTier(asked string, workspace *usher.Workspace) *usher.Refusal {
+	if len(workspace.Tiers) == 0 {
+		return usher.NewRefusal(usher.RefusalForbiddenTier, "the workspace may use no tier")
+	}
+	name := usher.TierName(asked)
+	if asked == "" {
+		name = workspace.Tiers[0]
+	}
+	tier, known := r.snapshot.Tiers[name]
+	if !known || !mayUse(workspace, name) {
+		return usher.NewRefusal(usher.RefusalForbiddenTier, "the workspace may not use tier "+strconv.Quote(string(name)))
+	}
+	if _, served := r.snapshot.Limits(name); !served {
+		return usher.NewRefusal(usher.RefusalForbiddenTier, "the preset in force does not serve tier "+string(name))
+	}
+	r.Tier, r.Rank = name, tier.Rank
+	r.Deadline = r.started.Add(time.Duration(tier.Deadline))
+	return nil
+}
+
+func mayUse(workspace *usher.Workspace, tier usher.TierName) bool {
+	for _, allowed := range workspace.Tiers {
+		if allowed == tier {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseDeadline reads a caller's own timeout, in seconds or as "1.5s".
+func (r *request) chooseDeadline(asked string, most time.Duration) *usher.Refusal {
+	if asked == "" {
+		return nil
+	}
+	timeout, err := time.ParseDuration(asked)
+	if seconds, errSeconds := strconv.ParseFloat(asked, 64); errSeconds == nil {
+		timeout, err = time.Duration(seconds*float64(time.Second)), nil
+	}
+	if err != nil || timeout <= 0 || timeout > most {
+		return usher.NewRefusal(usher.RefusalBadRequest, headerTimeout+" has to be a duration above 0 and up to "+most.String())
+	}
+	r.Deadline = r.started.Add(timeout)
+	return nil
+}
+
+// readBody reads the caller's body within the bounds of size and time.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *usher.Refusal) {
+	if r.ContentLength > e.options.MaxBody {
+		return nil, e.tooLarge()
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(e.options.BodyTimeout))
+	body, err := readAll(http.MaxBytesReader(w, r.Body, e.options.MaxBody), r.ContentLength)
+	if err == nil {
+		_ = controller.SetReadDeadline(time.Time{})
+		return body, nil
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, e.tooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, usher.NewRefusal(usher.RefusalTooSlow, "the body did not arrive in time")
+	default:
+		return nil, usher.NewRefusal(usher.RefusalBadRequest, "the body ended early")
+	}
+}
+
+func (e *Entry) tooLarge() *usher.Refusal {
+	return usher.NewRefusal(usher.RefusalTooLarge, "the body is larger than "+strconv.FormatInt(e.options.MaxBody, 10)+" bytes")
+}
+
+// readAll reads a body of known length without growing the buffer.
+func readAll(body io.Reader, length int64) ([]byte, error) {
+	if length < 0 {
+		return io.ReadAll(body)
+	}
+	buffer := make([]byte, length)
+	_, err := io.ReadFull(body, buffer)
+	return buffer, err
+}
--- /dev/null
+++ b/internal/wire/messages.go
@@ -0,0 +1,168 @@
+// Package wire defines the messages between the system's own processes. They
+// travel over net/rpc with its gob codec, which tolerates added fields, so a
+// process of a newer release can speak with an older one.
+//
+// Every request embeds Caller and every reply embeds Status. A process learns
+// from them, without messages of their own, which configuration its peers
+// hold and how loaded they are.
+package wire
+
+import (
+	"time"
+
+	"filbertusher/pkg/usher"
+)
+
+// Names of the remote methods. net/rpc has them as Service.Method.
+const (
+	MethodSubmit   = "Companion.Submit"
+	MethodFetch    = "Companion.Fetch"
+	MethodReserve  = "Companion.Reserve"
+	MethodWithdraw = "Companion.Withdraw"
+	MethodCollect  = "Companion.Collect"
+	MethodSnapshot = "Peer.Snapshot"
+)
+
+// Caller is embedded in every request.
+type Caller struct {
+	// Incarnation of the calling process; streams and reservations belong to it.
+	Incarnation   usher.Incarnation
+	ConfigVersion usher.Version
+}
+
+// Status is embedded in every reply.
+type Status struct {
+	Incarnation   usher.Incarnation
+	ConfigVersion usher.Version
+	Load          usher.LoadReport
+}
+
+// SubmitArgs offers a request with its body.
+type SubmitArgs struct {
+	Caller
+	Header usher.RequestHeader
+	// Remaining is the time to the deadline when the message was sent. The
+	// receiver sets the deadline by its own clock, so clocks need not agree.
+	Remaining time.Duration
+	Call      usher.Call
+	// MayWait lets the companion keep the request until there is room. When it
+	// is false and there is no room, the reply is StateBusy and nothing is kept.
+	MayWait bool
+	// Grant is the reservation this request was granted, or 0.
+	Grant uint64
+	// Stream is the number under which the events of a streamed answer are
+	// delivered to the calling incarnation by Collect.
+	Stream uint64
+}
+
+// SubmitState says what became of an offered request.
+type SubmitState int
+
+const (
+	// StateBusy means that there is no room; nothing was kept.
+	StateBusy SubmitState = iota
+	// StateAnswered means that Answer is the whole answer.
+	StateAnswered
+	// StateStreaming means that events follow by Collect.
+	StateStreaming
+	// StateRefused means that Refusal says why there is no answer.
+	StateRefused
+)
+
+// SubmitReply answers SubmitArgs and FetchArgs.
+type SubmitReply struct {
+	Status
+	State   SubmitState
+	Answer  *usher.Answer
+	Refusal *usher.Refusal
+}
+
+// FetchArgs asks for the outcome of a request that was submitted before, for
+// example after the connection broke. It waits until there is one.
+type FetchArgs struct {
+	Caller
+	ID     usher.RequestID
+	Stream uint64
+	// From is the first event of a streamed answer that the caller still needs.
+	From uint64
+}
+
+// ReserveArgs asks for room for a request without sending its body. The reply
+// comes when there is room, or when the reservation ended without.
+type ReserveArgs struct {
+	Caller
+	Header    usher.RequestHeader
+	Remaining time.Duration
+}
+
+// ReserveReply grants or refuses a reservation.
+type ReserveReply struct {
+	Status
+	Grant   uint64
+	Refusal *usher.Refusal
+}
+
+// WithdrawArgs takes a request or a reservation back.
+type WithdrawArgs struct {
+	Caller
+	ID usher.RequestID
+	// Cancel also ends the work of a request that was already dispatched.
+	Cancel bool
+}
+
+// WithdrawReply says what is known of the request. After OutcomeNotRun the
+// companion refuses a late arrival of the same id.
+type WithdrawReply struct {
+	Status
+	Outcome usher.Outcome
+}
+
+// CollectArgs waits for events of the calling incarnation's streams.
+type CollectArgs struct {
+	Caller
+	// Ack is the batch that was received last. The companion repeats a batch
+	// until it is acknowledged, so a broken connection loses no event.
+	Ack  uint64
+	Wait time.Duration
+}
+
+// CollectReply carries a batch of events. Batch 0 is empty and needs no Ack.
+type CollectReply struct {
+	Status
+	Batch  uint64
+	Events []Event
+}
+
+// EndState says whether an event ends its stream and how.
+type EndState int
+
+const (
+	// EndNone is on every event but the last.
+	EndNone EndState = iota
+	// EndWhole follows the last event of a whole answer; it has no data.
+	EndWhole
+	// EndBroken says that the rest of the answer is lost; it has a Refusal.
+	EndBroken
+)
+
+// Event is one event of a streamed answer on its way to an entry.
+type Event struct {
+	Stream  uint64
+	Offset  uint64
+	Data    []byte
+	End     EndState
+	Refusal *usher.Refusal
+	// Digest covers the data of all events; only with EndWhole.
+	Digest usher.Digest
+}
+
+// SnapshotArgs asks a peer for its configuration if that is newer.
+type SnapshotArgs struct {
+	Caller
+}
+
+// SnapshotReply carries the objects of a newer configuration, or none.
+type SnapshotReply struct {
+	Status
+	Objects []usher.Object
+}
--- /dev/null
+++ b/pkg/usher/interfaces.go
@@ -0,0 +1,140 @@
+package usher
+
+import (
+	"context"
+	"time"
+)
+
+// ObjectKey is the key of an object in the platform's object API, for example
+// "workspace/regenfass".
+type ObjectKey string
+
+// Object is one value of the platform's object API.
+type Object struct {
+	Key     ObjectKey `json:"key"`
+	Version Version   `json:"version"`
+	Value   []byte    `json:"value"`
+}
+
+// Event is one change that a watch reports. Deleted objects have no value.
+type Event struct {
+	Object
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Store is the platform's object API. Every call counts against the
+// platform's budget, a waiting watch as one call.
+//
+// Errors are *NotFoundError, *ConflictError, *AmbiguousError,
+// *HistoryLostError and *UnavailableError.
+type Store interface {
+	// Get returns one object.
+	Get(ctx context.Context, key ObjectKey) (Object, error)
+	// List returns the objects whose key begins with prefix, ordered by key,
+	// and the store's revision that the list reflects.
+	List(ctx context.Context, prefix ObjectKey) ([]Object, Version, error)
+	// Put writes a value on the condition that the object is still at version
+	// expected; 0 means that it must not exist. It returns the new version.
+	Put(ctx context.Context, key ObjectKey, expected Version, value []byte) (Version, error)
+	// Delete removes an object on the condition that it is at version expected.
+	Delete(ctx context.Context, key ObjectKey, expected Version) error
+	// Watch waits for changes after since below prefix, for at most wait. It
+	// returns them in order, with the revision to continue from.
+	Watch(ctx context.Context, prefix ObjectKey, since Version, wait time.Duration) ([]Event, Version, error)
+}
+
+// Candidate is an endpoint that could run a request, with the estimate that
+// ranked it. The estimates go to the log and to the record.
+type Candidate struct {
+	Endpoint EndpointName
+	// Finish is how long the request is expected to take there, waiting
+	// included.
+	Finish time.Duration
+	// Reused is how much of the prompt's prefix is expected to be cached.
+	Reused Tokens
+}
+
+// LoadReport is what a companion tells of its endpoint on every reply.
+type LoadReport struct {
+	Endpoint EndpointName
+	// Running and Waiting count requests in the engine and in front of it.
+	Running int
+	Waiting int
+	// Limit is how many requests the companion lets into the engine.
+	Limit int
+	// QueuedWork is the estimated time to work off what is waiting.
+	QueuedWork time.Duration
+	// PrefillPerToken and DecodePerToken are the measured pace of the engine.
+	PrefillPerToken time.Duration
+	DecodePerToken  time.Duration
+	// LowestKept is the least urgent rank that the companion keeps, waiting or
+	// running; -1 when it keeps nothing.
+	LowestKept Rank
+	Leaving    bool
+	// Taken is when the report was made, by the reader's clock on arrival.
+	Taken time.Time
+}
+
+// Placer chooses endpoints for requests.
+type Placer interface {
+	// Candidates returns the endpoints of the request's service in the order
+	// in which they should be tried. It allocates only when into is too small.
+	Candidates(header *RequestHeader, into []Candidate) []Candidate
+	// Observe takes in a report that came with a reply.
+	Observe(report LoadReport)
+	// Assigned tells that a request was offered to an endpoint, and Released
+	// that the offer ended; prefix says what the endpoint has now cached.
+	Assigned(endpoint EndpointName, header *RequestHeader)
+	Released(endpoint EndpointName, header *RequestHeader, ran bool)
+}
+
+// Admission decides at an endpoint which requests enter the engine and when.
+type Admission interface {
+	// Admit waits until the request may enter the engine. The returned Slot
+	// has to be released. Errors are *Refusal.
+	Admit(ctx context.Context, header *RequestHeader) (Slot, error)
+	// TryAdmit admits the request only if there is room at once.
+	TryAdmit(header *RequestHeader) (Slot, bool)
+	// Report returns the load of the endpoint now.
+	Report() LoadReport
+}
+
+// Slot is the right of one request to be in the engine.
+type Slot interface {
+	// FirstToken and Token report the engine's pace as it is measured.
+	FirstToken(after time.Duration, prompt Tokens)
+	Token(gap time.Duration)
+	// Release gives the slot back. It may be called more than once.
+	Release()
+}
+
+// Decision is one line of the record: what was decided on a request and why.
+type Decision struct {
+	Time          time.Time     `json:"time"`
+	ID            RequestID     `json:"id"`
+	Workspace     WorkspaceName `json:"workspace"`
+	TokenName     string        `json:"tokenName,omitempty"`
+	Service       ServiceName   `json:"service"`
+	Tier          TierName      `json:"tier"`
+	Key           string        `json:"key,omitempty"`
+	ConfigVersion Version       `json:"configVersion"`
+	Preset        PresetName    `json:"preset"`
+	Candidates    []Candidate   `json:"candidates,omitempty"`
+	Endpoint      EndpointName  `json:"endpoint,omitempty"`
+	Attempts      Attempt       `json:"attempts"`
+	Outcome       Outcome       `json:"outcome"`
+	Refusal       RefusalKind   `json:"refusal,omitempty"`
+	RequestSHA256 string        `json:"requestSha256,omitempty"`
+	AnswerSHA256  string        `json:"answerSha256,omitempty"`
+	AnswerBytes   int64         `json:"answerBytes,omitempty"`
+	Duration      Duration      `json:"duration"`
+}
+
+// Recorder keeps decisions for the inspector.
+type Recorder interface {
+	// Accept says whether a request of the rank may still be run; when the
+	// backlog is full it returns a *Refusal.
+	Accept(rank Rank) error
+	// Record keeps a decision until it is stored.
+	Record(decision Decision)
+}
