Notice peers that die or freeze and end their work honestly

Cause: a write to a frozen peer held net/rpc's lock past the caller's context; batch numbers were compared across incarnations, so an ack could swallow a batch; streams of a dead companion waited for their deadline; the work of a dead entry ran on in the engine. Ruled out: a heartbeat of its own (Collect already is one); a goroutine per stream (the handler reads the queue itself). Change: writes of a link fail when the peer takes nothing for two seconds. A Collect carries a session; a changed session fails the streams of the old one, and so does a peer that is out of reach for three seconds. A companion cancels the work of an entry that no longer collects, except for requests with a key. settle trusts an outcome only from the incarnation that was asked; a withdrawal without a reply is repeated with Collect. Whole answers that are cut off are put together from the engine's events. Middle events of streams wait for up to two milliseconds to share a message.

--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -85,7 +85,7 @@
 	c.metrics.submitted(1)
 	header := args.Header
 	header.Deadline = time.Now().Add(args.Remaining)
-	ctx, cancel := context.WithDeadline(context.Background(), header.Deadline)
+	ctx, cancel := context.WithDeadline(c.outlets.context(args), header.Deadline)
 	entry, fresh := c.Ledger.Open(header, cancel)
 	if !fresh {
 		cancel()
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -2,7 +2,6 @@
 
 import (
 	"filbertusher/internal/wire"
-	"filbertusher/pkg/usher"
 )
 
 // RPC is the companion as its peers see it; net/rpc calls its methods.
@@ -21,7 +20,7 @@
 func (r *RPC) Fetch(args *wire.FetchArgs, reply *wire.SubmitReply) error {
 	entry, ok := r.companion.Ledger.Find(args.ID)
 	if !ok {
-		*reply = r.companion.refused(usher.NewUnknown(usher.RefusalEndpointFailed, "the endpoint does not know the request"))
+		*reply = wire.SubmitReply{Status: r.companion.status(), State: wire.StateNotKnown}
 		return nil
 	}
 	*reply = r.companion.outcome(entry)
@@ -37,7 +36,12 @@
 
 // Collect waits for events of the caller's streams.
 func (r *RPC) Collect(args *wire.CollectArgs, reply *wire.CollectReply) error {
-	reply.Batch, reply.Events = r.companion.outlets.of(args.Incarnation).collect(args.Ack, args.Wait)
+	for _, id := range args.Withdraw {
+		r.companion.Ledger.Withdraw(id, true)
+	}
+	outlet := r.companion.outlets.of(args.Incarnation)
+	reply.Session = outlet.session
+	reply.Batch, reply.Events = outlet.collect(args.Session, args.Ack, args.Wait)
 	reply.Status = r.companion.status()
 	return nil
 }
--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -40,6 +40,13 @@
 	return "answer is larger than " + strconv.Itoa(e.Limit) + " bytes"
 }
 
+// UndelimitedError is the cause when the end of an answer can't be told from a
+// cut: it has no length and is not chunked.
+type UndelimitedError struct{}
+
+// Error implements error.
+func (*UndelimitedError) Error() string { return "the answer has no length" }
+
 // UnsupportedError is the cause when the protocol has no such operation.
 type UnsupportedError struct{ Operation string }
 
@@ -100,7 +107,10 @@
 // than announced as an error, so a part never passes for the whole.
 func readAnswer(response *http.Response) (*usher.Answer, error) {
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	if !isDelimited(response) {
+		return nil, &usher.BackendError{Operation: "read answer", Reached: true, Cause: &UndelimitedError{}}
+	}
+	body, err := readBody(response)
 	if err == nil && len(body) > maxAnswer {
 		err = &TooLargeError{Limit: maxAnswer}
 	}
@@ -114,6 +124,20 @@
 	}, nil
 }
 
+func isDelimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead
+}
+
+// readBody reads up to one byte more than an answer may have.
+func readBody(response *http.Response) ([]byte, error) {
+	if length := response.ContentLength; length >= 0 && length <= maxAnswer && response.Request.Method != http.MethodHead {
+		body := make([]byte, length)
+		_, err := io.ReadFull(response.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+}
+
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/internal/endpoint/model.go
+++ b/internal/endpoint/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"iter"
 	"net/http"
@@ -31,9 +32,15 @@
 	return &Model{client{base: "http://" + address, http: httpClient}}
 }
 
-// Call implements usher.Backend. It also reads the usage from the answer.
+// Call implements usher.Backend. It also reads the usage from the answer. When
+// the connection breaks before the whole answer is here, the engine may have
+// the request: it is asked for the events, of which the answer is put together.
 func (m *Model) Call(ctx context.Context, id usher.RequestID, fence usher.Fence, call *usher.Call) (*usher.Answer, error) {
 	answer, err := m.client.Call(ctx, id, fence, call)
+	var broken *usher.BackendError
+	if errors.As(err, &broken) && broken.Reached {
+		answer, err = m.recoverAnswer(ctx, id, err)
+	}
 	if err == nil && answer.Succeeded() {
 		answer.Usage = readUsage(answer.Body)
 	}
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -30,7 +28,7 @@
 	w.Header().Set(headerRequestID, string(accepted.ID))
 	decision := accepted.decision()
 	if refusal != nil {
-		refusal = refusal.WithRequestID(accepted.ID)
+		refusal = accepted.honest(refusal).WithRequestID(accepted.ID)
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
 		writeRefusal(w, refusal)
 	} else {
@@ -42,6 +40,17 @@
 	e.finish(decision)
 }
 
+// honest keeps a refusal from promising "not run" when an earlier attempt of
+// the request may have run.
+func (r *request) honest(refusal *usher.Refusal) *usher.Refusal {
+	if r.unsure == 0 || refusal.Outcome != usher.OutcomeNotRun {
+		return refusal
+	}
+	changed := *refusal
+	changed.Outcome = usher.OutcomeUnknown
+	return &changed
+}
+
 // finish counts, records and logs a decision.
 func (e *Entry) finish(decision usher.Decision) {
 	switch {
@@ -112,81 +121,63 @@
 
 // deliverStream passes the events of a stream on as they come. A stream whose
 // end is lost closes with an error event and an aborted connection, so that no
-// caller can take a part for the whole.
+// caller can take a part for the whole. One that fails before its first event
+// is refused like a whole answer.
 func (e *Entry) deliverStream(ctx context.Context, w http.ResponseWriter, accepted *request, stream *incoming) {
 	defer stream.close()
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Cache-Control", "no-store")
-	w.Header().Set(headerRequestID, string(accepted.ID))
-	w.WriteHeader(http.StatusOK)
-	out := &streamWriter{w: w, controller: http.NewResponseController(w)}
-	digest := sha256.New()
-	decision := accepted.decision()
+	out := newStreamWriter(w, accepted)
+	defer out.close()
+	var events []wire.Event
 	for {
-		event, refusal := e.nextEvent(ctx, accepted, stream)
-		if refusal == nil && event.End == wire.EndWhole && string(event.Digest) != hex.EncodeToString(digest.Sum(nil)) {
+		var refusal *usher.Refusal
+		events, refusal = e.nextEvents(ctx, accepted, stream, events)
+		end := out.take(events)
+		if refusal == nil && end.End == wire.EndBroken {
+			refusal = end.Refusal
+		}
+		if refusal == nil && end.End == wire.EndWhole && end.Digest != out.sum() {
 			refusal = usher.NewUnknown(usher.RefusalInternal, "the answer was damaged on its way")
 		}
-		if refusal != nil {
-			decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
-			decision.Duration = usher.Duration(time.Since(accepted.started))
-			e.finish(decision)
+		switch {
+		case refusal != nil && !out.begun:
+			e.end(w, accepted, nil, refusal)
+			return
+		case refusal != nil:
+			e.finishStream(accepted, out, refusal)
 			out.abort(refusal.WithRequestID(accepted.ID))
-		}
-		if event.End == wire.EndWhole {
-			out.write("data: [DONE]\n\n")
-			decision.Outcome = usher.OutcomeRan
-			decision.AnswerSHA256 = string(event.Digest)
-			decision.AnswerBytes = out.written
-			decision.Duration = usher.Duration(time.Since(accepted.started))
-			e.finish(decision)
+		case end.End == wire.EndWhole:
+			out.write([]byte(doneEvent))
+			out.flush()
+			e.finishStream(accepted, out, nil)
 			return
+		default:
+			out.flush()
 		}
-		digest.Write(event.Data)
-		out.event(event.Data)
 	}
 }
 
-// nextEvent waits for the next event, or returns why there will be none.
-func (e *Entry) nextEvent(ctx context.Context, accepted *request, stream *incoming) (wire.Event, *usher.Refusal) {
-	select {
-	case event := <-stream.events:
-		if event.End == wire.EndBroken {
-			return event, event.Refusal
-		}
-		return event, nil
-	case <-ctx.Done():
-		return wire.Event{}, e.withdraw(accepted, stream.peer, endOf(ctx))
+// nextEvents waits for events, or returns why there will be none.
+func (e *Entry) nextEvents(ctx context.Context, accepted *request, stream *incoming, into []wire.Event) ([]wire.Event, *usher.Refusal) {
+	events, refusal := stream.read(ctx, into)
+	switch {
+	case refusal != nil:
+		// The companion may still be at work on it.
+		stream.peer.withdrawLater(accepted.ID)
+	case events == nil:
+		refusal = e.withdraw(accepted, stream.peer, stream, endOf(ctx))
 	}
+	return events, refusal
 }
 
-// streamWriter writes events to the caller, flushing each.
-type streamWriter struct {
-	w          http.ResponseWriter
-	controller *http.ResponseController
-	written    int64
-}
-
-func (s *streamWriter) event(data []byte) {
-	line := make([]byte, 0, len(data)+len("data: \n\n"))
-	line = append(line, "data: "...)
-	line = append(line, data...)
-	line = append(line, "\n\n"...)
-	s.written += int64(len(data))
-	_, _ = s.w.Write(line)
-	_ = s.controller.Flush()
-}
-
-func (s *streamWriter) write(text string) {
-	_, _ = s.w.Write([]byte(text))
-	_ = s.controller.Flush()
-}
-
-// abort ends the connection without the mark of a whole answer.
-func (s *streamWriter) abort(refusal *usher.Refusal) {
-	encoded, err := json.Marshal(errorBody{Error: refusal})
-	if err == nil {
-		s.write("event: error\ndata: " + string(encoded) + "\n\n")
+// finishStream records how a stream ended.
+func (e *Entry) finishStream(accepted *request, out *streamWriter, refusal *usher.Refusal) {
+	decision := accepted.decision()
+	decision.AnswerBytes = out.written
+	if refusal != nil {
+		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
+	} else {
+		decision.Outcome = usher.OutcomeRan
+		decision.AnswerSHA256 = string(out.sum())
 	}
-	panic(http.ErrAbortHandler)
+	e.finish(decision)
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -81,7 +81,7 @@
 		Call: accepted.call, MayWait: mayWait, Stream: stream.number,
 	}
 	reply := &wire.SubmitReply{}
-	err := peer.link.Call(ctx, wire.MethodSubmit, args, reply)
+	err := peer.submit(ctx, stream, args, reply)
 	if err == nil {
 		got, final = e.judge(reply, stream)
 	} else {
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -1,61 +1,93 @@
 package entry
 
 import (
+	"context"
 	"sync"
 
 	"filbertusher/internal/wire"
+	"filbertusher/pkg/usher"
 )
 
-// eventQueue is an unbounded queue between the collector of a peer, which must
-// never wait for one slow caller, and the handler of one stream. An answer is
-// bounded by the engine, and so is the queue.
-type eventQueue struct {
-	out chan<- wire.Event
+// maxQueued bounds the data of one stream that waits for a slow caller, in
+// bytes. A caller that falls further behind loses its stream, with an error.
+const maxQueued = 4 << 20
+
+// incoming is one streamed answer on its way in. The collector of the peer
+// appends to it and never waits; the handler of the request reads from it.
+type incoming struct {
+	peer   *peer
+	number uint64
+	// contact is what was known of the peer when the request was sent.
+	contact *contact
 
 	mu     sync.Mutex
+	next   uint64
 	events []wire.Event
-	wake   chan struct{}
-	closed chan struct{}
+	queued int
+	// failure ends the stream after the events that came before it.
+	failure *usher.Refusal
+	// wake holds one signal, so that the collector does not wait for the reader.
+	wake chan struct{}
 }
 
-func newEventQueue(out chan<- wire.Event) *eventQueue {
-	q := &eventQueue{out: out, wake: make(chan struct{}, 1), closed: make(chan struct{})}
-	go q.run()
-	return q
+// add appends an event. It returns false for an event that is not the next
+// one: it came before, or the stream has failed.
+func (s *incoming) add(event wire.Event) bool {
+	s.mu.Lock()
+	if event.Offset != s.next || s.failure != nil {
+		s.mu.Unlock()
+		return false
+	}
+	s.next++
+	s.queued += len(event.Data)
+	if s.queued > maxQueued {
+		s.failure = usher.NewUnknown(usher.RefusalTooSlow, "the answer was read too slowly")
+	} else {
+		s.events = append(s.events, event)
+	}
+	s.mu.Unlock()
+	s.signal()
+	return true
 }
 
-func (q *eventQueue) add(event wire.Event) {
-	q.mu.Lock()
-	q.events = append(q.events, event)
-	q.mu.Unlock()
+// fail ends the stream. Only the first failure counts.
+func (s *incoming) fail(refusal *usher.Refusal) {
+	s.mu.Lock()
+	if s.failure == nil {
+		s.failure = refusal
+	}
+	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *incoming) signal() {
 	select {
-	case q.wake <- struct{}{}:
+	case s.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (q *eventQueue) close() { close(q.closed) }
-
-func (q *eventQueue) run() {
+// read waits for events and returns all that are there. The returned slice is
+// valid until the next call, which gets into as the slice to fill anew.
+func (s *incoming) read(ctx context.Context, into []wire.Event) ([]wire.Event, *usher.Refusal) {
 	for {
-		q.mu.Lock()
-		events := q.events
-		q.events = nil
-		q.mu.Unlock()
-		for _, event := range events {
-			select {
-			case q.out <- event:
-			case <-q.closed:
-				return
-			}
+		s.mu.Lock()
+		if len(s.events) > 0 {
+			events := s.events
+			s.events = into[:0]
+			s.queued = 0
+			s.mu.Unlock()
+			return events, nil
 		}
-		if len(events) > 0 {
-			continue
+		failure := s.failure
+		s.mu.Unlock()
+		if failure != nil {
+			return nil, failure
 		}
 		select {
-		case <-q.wake:
-		case <-q.closed:
-			return
+		case <-s.wake:
+		case <-ctx.Done():
+			return nil, nil
 		}
 	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := rpc.NewClient(conn)
+	client := rpc.NewClient(progressConn{conn})
 	l.client.Store(client)
 	return client, nil
 }
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -46,7 +46,7 @@
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
 	s.mu.Unlock()
-	s.rpc.ServeConn(conn)
+	s.rpc.ServeConn(progressConn{conn})
 	s.mu.Lock()
 	delete(s.conns, conn)
 	s.mu.Unlock()
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -67,6 +67,9 @@
 	StateStreaming
 	// StateRefused means that Refusal says why there is no answer.
 	StateRefused
+	// StateNotKnown means that this incarnation never saw the request; only in
+	// the reply to FetchArgs. The request may still be on its way.
+	StateNotKnown
 )
 
 // SubmitReply answers SubmitArgs and FetchArgs.
@@ -120,6 +123,11 @@
 // CollectArgs waits for events of the calling incarnation's streams.
 type CollectArgs struct {
 	Caller
+	// Session is the session that Ack belongs to, or 0 in the first call.
+	Session uint64
+	// Withdraw names requests that nobody waits for any more, where the call
+	// to withdraw them was lost. It is repeated until there is a reply.
+	Withdraw []usher.RequestID
 	// Ack is the batch that was received last. The companion repeats a batch
 	// until it is acknowledged, so a broken connection loses no event.
 	Ack  uint64
@@ -129,8 +137,12 @@
 // CollectReply carries a batch of events. Batch 0 is empty and needs no Ack.
 type CollectReply struct {
 	Status
-	Batch  uint64
-	Events []Event
+	// Session names what the companion keeps for the calling incarnation. It
+	// changes when the companion restarts or gave the caller up for dead; the
+	// streams of an earlier session are lost then.
+	Session uint64
+	Batch   uint64
+	Events  []Event
 }
 
 // EndState says whether an event ends its stream and how.
