Bring about cuts, freezes and deaths between all processes in tests

Cause: nothing showed that a caller sees a whole own answer or an honest error when a link or a process fails. Ruled out: fakes in one process; only real processes freeze and die. An attempt whose outcome is unknown is told as it was, not as the refusal of a later one.

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -34,8 +34,8 @@
 	started    time.Time
 	candidates []usher.Candidate
 	endpoint   usher.EndpointName
-	// unsure counts the attempts whose outcome is unknown.
-	unsure int
+	// unsure holds the refusals of the attempts whose outcome is unknown.
+	unsure []*usher.Refusal
 }
 
 // accept makes a request of what the caller sent, except for the body, or
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -41,14 +41,12 @@
 }
 
 // honest keeps a refusal from promising "not run" when an earlier attempt of
-// the request may have run.
+// the request may have run: that attempt's refusal is the one to tell.
 func (r *request) honest(refusal *usher.Refusal) *usher.Refusal {
-	if r.unsure == 0 || refusal.Outcome != usher.OutcomeNotRun {
+	if len(r.unsure) == 0 || refusal.Outcome != usher.OutcomeNotRun {
 		return refusal
 	}
-	changed := *refusal
-	changed.Outcome = usher.OutcomeUnknown
-	return &changed
+	return r.unsure[len(r.unsure)-1]
 }
 
 // finish counts, records and logs a decision.
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -52,8 +52,8 @@
 	if refusal.Outcome == usher.OutcomeNotRun {
 		return result{}, false
 	}
-	if accepted.Idempotent && accepted.unsure < maxUnsureAttempts-1 {
-		accepted.unsure++
+	if accepted.Idempotent && len(accepted.unsure) < maxUnsureAttempts-1 {
+		accepted.unsure = append(accepted.unsure, refusal)
 		return result{}, false
 	}
 	return refused(refusal), true
--- /dev/null
+++ b/internal/standin/fault/fault.go
@@ -0,0 +1,134 @@
+// Package fault puts fault-injecting proxies between processes. It wraps
+// toxiproxy, so that a test names a link, such as "engine-0", and what happens
+// to it.
+package fault
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+)
+
+// loopback lets a proxy pick a free port.
+const loopback = "127.0.0.1:0"
+
+// UnknownLinkError is returned for a link that has no proxy.
+type UnknownLinkError struct{ Link string }
+
+// Error implements error.
+func (e *UnknownLinkError) Error() string { return "there is no proxy in front of " + e.Link }
+
+// Direction is the way in which data flows through a link.
+type Direction string
+
+// Downstream is from the process behind the proxy to the one that connects.
+const (
+	Downstream Direction = "downstream"
+	Upstream   Direction = "upstream"
+)
+
+// Toxic is one fault of a link; toxiproxy's documentation lists the types and
+// their attributes.
+type Toxic struct {
+	Type       string         `json:"type"`
+	Stream     Direction      `json:"stream"`
+	Attributes map[string]int `json:"attributes"`
+}
+
+// Proxies is one proxy for each link.
+type Proxies struct {
+	server *toxiproxy.ApiServer
+
+	mu     sync.Mutex
+	byLink map[string]*toxiproxy.Proxy
+}
+
+// New returns no proxies. Its method Via fits fleet.Plan.
+func New() *Proxies {
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	return &Proxies{server: server, byLink: make(map[string]*toxiproxy.Proxy)}
+}
+
+// Via starts a proxy in front of a process and returns the proxy's address.
+func (p *Proxies) Via(process, address string) (string, error) {
+	proxy := toxiproxy.NewProxy(p.server, process, loopback, address)
+	if err := proxy.Start(); err != nil {
+		return "", err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byLink[process] = proxy
+	return proxy.Listen, nil
+}
+
+func (p *Proxies) of(link string) (*toxiproxy.Proxy, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	proxy, ok := p.byLink[link]
+	if !ok {
+		return nil, &UnknownLinkError{Link: link}
+	}
+	return proxy, nil
+}
+
+// Down cuts every connection of a link and refuses new ones.
+func (p *Proxies) Down(link string) error {
+	proxy, err := p.of(link)
+	if err == nil {
+		proxy.Stop()
+	}
+	return err
+}
+
+// Up ends Down.
+func (p *Proxies) Up(link string) error {
+	proxy, err := p.of(link)
+	if err != nil {
+		return err
+	}
+	return proxy.Start()
+}
+
+// Cut cuts every connection of a link; new ones work.
+func (p *Proxies) Cut(link string) error {
+	if err := p.Down(link); err != nil {
+		return err
+	}
+	return p.Up(link)
+}
+
+// Add adds a toxic to a link.
+func (p *Proxies) Add(link string, toxic Toxic) error {
+	proxy, err := p.of(link)
+	if err != nil {
+		return err
+	}
+	encoded, err := json.Marshal(toxic)
+	if err != nil {
+		return err
+	}
+	_, err = proxy.Toxics.AddToxicJson(strings.NewReader(string(encoded)))
+	return err
+}
+
+// Heal removes every toxic of a link.
+func (p *Proxies) Heal(ctx context.Context, link string) error {
+	proxy, err := p.of(link)
+	if err == nil {
+		proxy.Toxics.ResetToxics(ctx)
+	}
+	return err
+}
+
+// Close stops every proxy.
+func (p *Proxies) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, proxy := range p.byLink {
+		proxy.Stop()
+	}
+}
--- a/internal/standin/fleet/whole.go
+++ b/internal/standin/fleet/whole.go
@@ -37,6 +37,16 @@
 	CompanionArgs []string
 	EntryArgs     []string
 	StoreArgs     []string
+	// Via returns the address by which a process is reached, for example that
+	// of a proxy in front of it. Processes are reached directly without it.
+	Via func(process, address string) (string, error)
+}
+
+func (p *Plan) via(process, address string) (string, error) {
+	if p.Via == nil {
+		return address, nil
+	}
+	return p.Via(process, address)
 }
 
 // Whole is a path from callers to endpoints.
@@ -73,7 +83,7 @@
 		}
 		w.Engines = append(w.Engines, engine)
 		endpoint := usher.Endpoint{Name: usher.EndpointName("advice-" + strconv.Itoa(i)), Service: Advice}
-		if err := w.beside(ctx, endpoint, engine, usher.ServiceModel, plan.CompanionArgs); err != nil {
+		if err := w.beside(ctx, endpoint, engine, usher.ServiceModel, &plan); err != nil {
 			return err
 		}
 	}
@@ -84,7 +94,7 @@
 		}
 		w.Desks = append(w.Desks, desk)
 		endpoint := usher.Endpoint{Name: usher.EndpointName("orders-" + strconv.Itoa(i)), Service: Orders}
-		if err := w.beside(ctx, endpoint, desk, usher.ServicePlain, plan.CompanionArgs); err != nil {
+		if err := w.beside(ctx, endpoint, desk, usher.ServicePlain, &plan); err != nil {
 			return err
 		}
 	}
@@ -104,15 +114,21 @@
 }
 
 // beside starts the companion of an endpoint and declares the endpoint.
-func (w *Whole) beside(ctx context.Context, endpoint usher.Endpoint, backend *Member, kind usher.ServiceKind, args []string) error {
+func (w *Whole) beside(ctx context.Context, endpoint usher.Endpoint, backend *Member, kind usher.ServiceKind, plan *Plan) error {
 	endpoint.AvailabilityZone = Zone
 	endpoint.Fencing = usher.FencingIgnored
-	member, err := w.Companion(w.Store.Address, endpoint, backend.Address, kind, args...)
+	behind, err := plan.via(backend.Name, backend.Address)
+	if err != nil {
+		return err
+	}
+	member, err := w.Companion(w.Store.Address, endpoint, behind, kind, plan.CompanionArgs...)
 	if err != nil {
 		return err
 	}
 	w.Companions = append(w.Companions, member)
-	endpoint.Companion = member.Address
+	if endpoint.Companion, err = plan.via(member.Name, member.Address); err != nil {
+		return err
+	}
 	_, err = w.Put(ctx, config.KindEndpoint, string(endpoint.Name), endpoint)
 	return err
 }
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(whole.Close)
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/calls", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return send(ctx, t, whole, d)
 		})
