End a stream at once when an event of it is lost

Cause: with the repeat of batches taken out, the caller waited a minute for an event that never came. Change: an event that is not the next one fails the stream.

--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -30,19 +30,22 @@
 	wake chan struct{}
 }
 
-// add appends an event. It returns false for an event that is not the next
-// one: it came before, or the stream has failed.
+// add appends an event. It returns false for an event that came before or
+// after the end. An event that is missing ends the stream at once.
 func (s *incoming) add(event wire.Event) bool {
 	s.mu.Lock()
-	if event.Offset != s.next || s.failure != nil {
+	if event.Offset < s.next || s.failure != nil {
 		s.mu.Unlock()
 		return false
 	}
-	s.next++
 	s.queued += len(event.Data)
-	if s.queued > maxQueued {
+	switch {
+	case event.Offset > s.next:
+		s.failure = usher.NewUnknown(usher.RefusalInternal, "a part of the answer was lost")
+	case s.queued > maxQueued:
 		s.failure = usher.NewUnknown(usher.RefusalTooSlow, "the answer was read too slowly")
-	} else {
+	default:
+		s.next++
 		s.events = append(s.events, event)
 	}
 	s.mu.Unlock()
