Add the load tool and the experiment with its baselines

Cause: nothing measured what the decisions do under overload. Ruled out: a simulator; the runs use real processes on loopback. Change: mixes of both customers, open-loop arrivals with fixed seeds, capacity from the engines' flags, round robin and least reported load as baselines, a previous build of the product, a check of each answer and a count of tier inversions from the callers' trace.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOL     := $(GO) tool -modfile=tools/go.mod
 PACKAGES := ./...
 
-.PHONY: all build test unit race fmt fmt-check lint vet demo bench experiment soak scale clean
+.PHONY: experiment-short all build test unit race fmt fmt-check lint vet demo bench experiment soak scale clean
 
 all: build
 
@@ -42,3 +42,23 @@
 
 clean:
 	rm -rf bin out
+
+# PREVIOUS is the revision that the policy "previous" of an experiment runs.
+PREVIOUS ?= 1da491e
+
+out/previous/filbertusher:
+	rm -rf out/previous
+	mkdir -p out/previous/source
+	git archive $(PREVIOUS) | tar -x -C out/previous/source
+	cd out/previous/source && $(GO) build -o ../filbertusher ./cmd/filbertusher
+
+# experiment compares the decisions with the baselines; experiment-short does
+# so in a few minutes. Seeds are fixed, so the same requests come each time.
+experiment: build out/previous/filbertusher
+	./bin/standin experiment -binary ./bin/filbertusher -previous out/previous/filbertusher \
+		-policies ours,previous,roundRobin,leastLoad
+
+experiment-short: build out/previous/filbertusher
+	./bin/standin experiment -binary ./bin/filbertusher -previous out/previous/filbertusher \
+		-policies ours,previous,roundRobin,leastLoad -loads 0.9,2 -seeds 1 -duration 16s \
+		-output out/experiment-short.jsonl
--- /dev/null
+++ b/internal/standin/load/summary.go
@@ -0,0 +1,99 @@
+package load
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"filbertusher/pkg/usher"
+)
+
+// tierCount is how many tiers the mixes have.
+const tierCount = 3
+
+// summary is one row of the table of an experiment.
+type summary struct {
+	Run
+	Offered [tierCount]int
+	OnTime  [tierCount]int
+	Damaged int
+	Unknown int
+	// Useful is the share of the engines' capacity that went into answers on
+	// time, in percent.
+	Useful float64
+	Totals *Totals
+	Inversions
+	// P95 is the 95th percentile of the whole time of urgent answers.
+	P95 time.Duration
+}
+
+const tableHeader = "mix        policy      load seed | offered u/n/b  | on time u/n/b %      | useful % wasted % reused % | shed inv  overtaken damaged unknown | urgent p95"
+
+func summarize(run Run, results []*Result, totals *Totals, slowest *Hardware) *summary {
+	s := &summary{Run: run, Totals: totals, Inversions: CountInversions(results, slowest)}
+	var urgent []time.Duration
+	for _, r := range results {
+		s.Offered[r.Rank]++
+		if r.OnTime {
+			s.OnTime[r.Rank]++
+		}
+		if r.Damaged {
+			s.Damaged++
+		}
+		if r.Outcome == usher.OutcomeUnknown {
+			s.Unknown++
+		}
+		if r.Rank == 0 && r.Outcome == usher.OutcomeRan {
+			urgent = append(urgent, r.Total)
+		}
+	}
+	s.P95 = percentile(urgent, 0.95)
+	return s
+}
+
+func percentile(durations []time.Duration, share float64) time.Duration {
+	if len(durations) == 0 {
+		return 0
+	}
+	sort.Slice(durations, func(i, j int) bool { return durations[i] < durations[j] })
+	return durations[min(len(durations)-1, int(share*float64(len(durations))))]
+}
+
+// wasteBy splits the prompt tokens of requests that did not end well by cause.
+// It bounds the wasted prefill from above, because a request may have been
+// stopped before or during its prefill.
+func wasteBy(results []*Result) map[string]int64 {
+	by := make(map[string]int64)
+	for _, r := range results {
+		if r.Outcome != usher.OutcomeUnknown {
+			continue
+		}
+		cause := string(r.Refusal)
+		if cause == "" {
+			cause = "callerTimeout"
+		}
+		by[cause] += int64(r.PromptTokens)
+	}
+	return by
+}
+
+func percent[T int | int64 | time.Duration](part, whole T) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return 100 * float64(part) / float64(whole)
+}
+
+func (s *summary) row() string {
+	var offered, onTime []string
+	for i := range s.Offered {
+		offered = append(offered, fmt.Sprint(s.Offered[i]))
+		onTime = append(onTime, fmt.Sprintf("%.1f", percent(s.OnTime[i], s.Offered[i])))
+	}
+	return fmt.Sprintf("%-10s %-11s %4.1f %4d | %-14s | %-20s | %6.1f %8.2f %8.1f | %8d %10d %7d %7d | %s",
+		s.Mix, s.Policy, s.Load, s.Seed, strings.Join(offered, "/"), strings.Join(onTime, "/"),
+		s.Useful, percent(s.Totals.WastedPrefill, s.Totals.PrefillTokens),
+		percent(s.Totals.ReusedTokens, s.Totals.PrefillTokens+s.Totals.ReusedTokens),
+		s.Shed, s.Overtaken, s.Damaged, s.Unknown, s.P95.Round(time.Millisecond))
+}
