Measure the path next to bare forwarders in one run

Cause: no figure said what entry and companion cost. Change: standin bench sends the same load direct, through two bare forwarders and through the path, and prints ratios; standin forward; the operators' listener serves profiles.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -8,6 +8,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,6 +21,7 @@
 	PathReady   = "/readyz"
 	PathStop    = "/stop"
 	PathMetrics = "/debug/vars"
+	PathProfile = "/debug/pprof/"
 )
 
 // shutdownGrace bounds how long open operators' calls may delay an exit.
@@ -62,6 +64,9 @@
 	mux.Handle("GET "+PathMetrics, expvar.Handler())
 	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET "+PathReady, s.readiness)
+	mux.HandleFunc("GET "+PathProfile, pprof.Index)
+	mux.HandleFunc("GET "+PathProfile+"profile", pprof.Profile)
+	mux.HandleFunc("GET "+PathProfile+"trace", pprof.Trace)
 	mux.HandleFunc("POST "+PathStop, s.announceStop)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	release := context.AfterFunc(ctx, func() {
--- /dev/null
+++ b/internal/standin/bench/process.go
@@ -0,0 +1,65 @@
+package bench
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"filbertusher/internal/standin/fleet"
+)
+
+// tick is the unit of processor time in /proc.
+const tick = 10 * time.Millisecond
+
+// Fields of /proc/PID/stat, counted from the one after the program's name.
+const (
+	fieldUserTime   = 11
+	fieldSystemTime = 12
+)
+
+// StatError is returned when /proc does not have the expected form.
+type StatError struct{ Path string }
+
+// Error implements error.
+func (e *StatError) Error() string { return "unexpected form of " + e.Path }
+
+// processorTime is what the processes have used of the processor so far.
+func processorTime(members ...*fleet.Member) (time.Duration, error) {
+	var total time.Duration
+	for _, member := range members {
+		path := "/proc/" + strconv.Itoa(member.PID()) + "/stat"
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return 0, err
+		}
+		_, rest, _ := strings.Cut(string(text), ") ")
+		fields := strings.Fields(rest)
+		if len(fields) <= fieldSystemTime {
+			return 0, &StatError{Path: path}
+		}
+		for _, field := range []int{fieldUserTime, fieldSystemTime} {
+			ticks, err := strconv.Atoi(fields[field])
+			if err != nil {
+				return 0, &StatError{Path: path}
+			}
+			total += time.Duration(ticks) * tick
+		}
+	}
+	return total, nil
+}
+
+// residentMemory is the resident set of the process, in bytes.
+func residentMemory(member *fleet.Member) (int64, error) {
+	path := "/proc/" + strconv.Itoa(member.PID()) + "/statm"
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0, &StatError{Path: path}
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize()), err
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"sync"
 
+	"filbertusher/internal/admin"
 	"filbertusher/internal/config"
 	"filbertusher/internal/platform"
 	"filbertusher/pkg/usher"
@@ -97,6 +98,20 @@
 	return f.standin(name, append([]string{"desk"}, args...)...)
 }
 
+// Forwarder starts a bare HTTP forwarder.
+func (f *Fleet) Forwarder(name, to string) (*Member, error) {
+	return f.standin(name, "forward", "--to", to)
+}
+
+// Dump reads the state of a process of the product.
+func (m *Member) Dump(ctx context.Context, into any) error {
+	body, err := exchange(ctx, http.MethodGet, "http://"+m.Admin+admin.PathDump, nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, into)
+}
+
 // loopback lets a process pick a free port.
 const loopback = "127.0.0.1:0"
 
