Accept the configuration at one head and spread it from peer to peer

Cause: each process listed every object at each change and watched the store, the store's revision served as the version, and a change of several objects had no single point of acceptance. Ruled out: one object for each declaration with a version beside it (no atomic change of several); one large value (over a megabyte, resends all); versions from clocks (not safe after a restore from a backup). Change: a tree of digests under one head that a conditional update replaces; versions of our own with a lineage, so that a process refuses what was not built on what it holds; two spreading trees over the companions, deltas from peers, pages for whole configurations; repair of a store that lost history; declarations in YAML with a schema; commands for operators; leaving and drains that hand back what waits.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -24,6 +24,14 @@
 	ExitDone     = 0
 	ExitFailed   = 1
 	ExitSettings = 2
+	// ExitInvalid says that declarations are wrong; nothing was written.
+	ExitInvalid = 3
+	// ExitConflict says that somebody else changed the same; nothing was written.
+	ExitConflict = 4
+	// ExitUnknown says that a change may have been accepted.
+	ExitUnknown = 5
+	// ExitDiffers says that the declarations are not what is in force.
+	ExitDiffers = 6
 )
 
 // Command is one subcommand. Run gets a context that ends on SIGTERM and
@@ -45,7 +53,11 @@
 
 // all lists the subcommands in the order in which the help shows them.
 func all() []*Command {
-	return []*Command{newEntryCommand(), newCompanionCommand(), newDumpCommand(), newPutCommand()}
+	return []*Command{
+		newEntryCommand(), newCompanionCommand(), newDumpCommand(),
+		newCheckCommand(), newDiffCommand(), newGetCommand(), newHistoryCommand(),
+		newApplyCommand(), newRollbackCommand(), newPresetCommand(), newLeaveCommand(), newStopCommand(),
+	}
 }
 
 // ExitError ends the process with a status other than ExitFailed.
--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -73,17 +74,20 @@
 	if err := server.Register("Companion", companion.NewRPC(beside)); err != nil {
 		return err
 	}
-	p.group.Go(func() error { return server.Serve(ctx) })
+	if err := p.follow(ctx, server, listener.Addr().String(), name); err != nil {
+		return err
+	}
+	p.group.Go(func() error { return beside.FollowLeaving(ctx) })
 	p.log.Info().Str("listen", listener.Addr().String()).Msg("listening")
 	go p.ready(ctx)
+	// A stop that cut a request does not exit with status 0.
+	var drained error
 	go func() {
 		p.awaitStop(signalled)
 		limit, stop := context.WithTimeout(ctx, p.drainTimeout)
 		defer stop()
-		if err := beside.Drain(limit); err != nil {
-			p.log.Warn().Err(err).Msg("drainTimeout")
-		}
+		drained = beside.Drain(limit)
 		cancel()
 	}()
-	return p.group.Wait()
+	return errors.Join(p.group.Wait(), drained)
 }
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filbertusher/internal/entry"
+	"filbertusher/internal/link"
 	"filbertusher/internal/placement"
 	"filbertusher/internal/record"
 	"filbertusher/pkg/usher"
@@ -19,6 +20,7 @@
 type entryProcess struct {
 	process
 	listen         string
+	peerListen     string
 	maxBody        int
 	maxTimeout     time.Duration
 	bodyTimeout    time.Duration
@@ -30,6 +32,7 @@
 	p := &entryProcess{}
 	p.declare(command.Settings)
 	command.Settings.Address(&p.listen, "listen", "127.0.0.1:8080", true, "where callers reach this process")
+	command.Settings.Address(&p.peerListen, "peer-listen", "127.0.0.1:0", true, "where other processes of the system reach this one")
 	command.Settings.Int(&p.maxBody, "max-body", 8<<20, 1<<10, 256<<20, "the largest body of a request, in bytes")
 	command.Settings.Duration(&p.maxTimeout, "max-timeout", 10*time.Minute, time.Second, 24*time.Hour, "the longest timeout a caller may ask for")
 	command.Settings.Duration(&p.bodyTimeout, "body-timeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute, "how long a caller may take to send a request")
@@ -49,10 +52,18 @@
 	if err != nil {
 		return err
 	}
+	peerListener, err := net.Listen("tcp", p.peerListen)
+	if err != nil {
+		return err
+	}
+	peerAddress := peerListener.Addr().String()
+	if err := p.follow(ctx, link.NewServer(peerListener), peerAddress, ""); err != nil {
+		return err
+	}
 	placer := placement.New(p.config, usher.AvailabilityZone(p.zone))
 	recorder := record.NewMemory(recordLimit)
 	server := entry.New(entry.Options{
-		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout,
+		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, Peer: peerAddress,
 	}, entry.Dependencies{Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
 	p.admin.Section("entry", server.State)
 	p.admin.Section("placement", placer.State)
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -13,8 +13,10 @@
 
 	"filbertusher/internal/admin"
 	"filbertusher/internal/config"
+	"filbertusher/internal/link"
 	"filbertusher/internal/platform"
 	"filbertusher/internal/settings"
+	"filbertusher/internal/spread"
 	"filbertusher/internal/telemetry"
 	"filbertusher/pkg/usher"
 )
@@ -27,6 +29,7 @@
 	zone         string
 	logLevel     string
 	drainTimeout time.Duration
+	peers        []string
 
 	log         zerolog.Logger
 	incarnation usher.Incarnation
@@ -42,13 +45,14 @@
 	set.Address(&p.adminAddress, "admin", "127.0.0.1:0", true, "where operators reach this process")
 	set.Text(&p.zone, "zone", "", true, "the availability zone of this instance")
 	set.Choice(&p.logLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "the least important level that is logged")
+	set.Addresses(&p.peers, "peers", "", "processes to fetch the configuration from when this one starts, for a start while the store is down")
 	set.Duration(&p.drainTimeout, "drain-timeout", 30*time.Second, 0, time.Hour, "how long a planned stop waits for requests in flight")
 }
 
 // storeConnections bounds the idle connections to the store.
 const storeConnections = 4
 
-// start opens the operators' listener and follows the configuration.
+// start opens the operators' listener.
 func (p *process) start(ctx context.Context, errOut io.Writer) (context.Context, error) {
 	level, err := zerolog.ParseLevel(p.logLevel)
 	if err != nil {
@@ -66,11 +70,25 @@
 	group, ctx := errgroup.WithContext(ctx)
 	p.group = group
 	group.Go(func() error { return p.admin.Serve(ctx) })
-	group.Go(func() error { return config.NewFollower(p.store, p.config, p.log).Run(ctx) })
 	p.log.Info().Str("admin", listener.Addr().String()).Str("incarnation", string(p.incarnation)).Msg("started")
 	return ctx, nil
 }
 
+// follow keeps the configuration up to date and serves it to peers, which
+// reach this process at the server's address. endpoint is empty for entries.
+func (p *process) follow(ctx context.Context, server *link.Server, address string, endpoint usher.EndpointName) error {
+	spreading := spread.New(spread.Self{
+		Endpoint: endpoint, Incarnation: p.incarnation, Zone: usher.AvailabilityZone(p.zone), Address: address, Seeds: p.peers,
+	}, p.store, p.config, p.log)
+	if err := server.Register("Peer", spread.NewRPC(spreading)); err != nil {
+		return err
+	}
+	p.admin.Section("config", spreading.State)
+	p.group.Go(func() error { return spreading.Run(ctx) })
+	p.group.Go(func() error { return server.Serve(ctx) })
+	return nil
+}
+
 // ready says that the process may get work once it knows a configuration.
 func (p *process) ready(ctx context.Context) {
 	for p.config.Current().Version == 0 {
--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -40,7 +41,9 @@
 	options Options
 	outlets *outlets
 	metrics metrics
-	drain   drain
+	drain   *drain
+	// stopping is set by a planned stop, which can't be called off.
+	stopping atomic.Bool
 }
 
 type metrics struct {
@@ -58,6 +61,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		outlets:      newOutlets(),
+		drain:        newDrain(),
 		metrics: metrics{
 			submitted:  group.Counter("submitted").Add,
 			dispatched: group.Counter("dispatched").Add,
--- a/internal/companion/outlet.go
+++ b/internal/companion/outlet.go
@@ -18,12 +18,14 @@
 	sent  []wire.Event
 	batch uint64
 	ready chan struct{}
+	// woken ends one wait of the entry without events.
+	woken chan struct{}
 	// empty is closed and replaced whenever nothing is left to deliver.
 	empty chan struct{}
 }
 
 func newOutlet() *outlet {
-	return &outlet{ready: make(chan struct{}, 1), empty: make(chan struct{})}
+	return &outlet{ready: make(chan struct{}, 1), woken: make(chan struct{}, 1), empty: make(chan struct{})}
 }
 
 func (o *outlet) add(event wire.Event) {
@@ -48,6 +50,8 @@
 		}
 		select {
 		case <-o.ready:
+		case <-o.woken:
+			return batch, nil
 		case <-timer.C:
 			return batch, nil
 		}
@@ -101,6 +105,18 @@
 	return existing
 }
 
+// wake ends the wait of every entry, so that each hears the status at once.
+func (o *outlets) wake() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, one := range o.byCaller {
+		select {
+		case one.woken <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // flushed waits until the entries have acknowledged every event.
 func (o *outlets) flushed(ctx context.Context) error {
 	o.mu.Lock()
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -13,6 +13,7 @@
 
 // Submit offers a request with its body.
 func (r *RPC) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
+	r.companion.Config.Hear(args.Peer, args.ConfigVersion)
 	*reply = r.companion.submit(args)
 	return nil
 }
@@ -37,6 +38,7 @@
 
 // Collect waits for events of the caller's streams.
 func (r *RPC) Collect(args *wire.CollectArgs, reply *wire.CollectReply) error {
+	r.companion.Config.Hear(args.Peer, args.ConfigVersion)
 	reply.Batch, reply.Events = r.companion.outlets.of(args.Incarnation).collect(args.Ack, args.Wait)
 	reply.Status = r.companion.status()
 	return nil
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -39,7 +39,13 @@
 		slot, _ := c.Admission.TryAdmit(&w.entry.Header)
 		return slot, nil
 	}
-	slot, err := c.Admission.Admit(ctx, &w.entry.Header)
+	waiting, stop := c.drain.untilLeaving(ctx)
+	defer stop()
+	slot, err := c.Admission.Admit(waiting, &w.entry.Header)
+	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		// The request only waited, so another endpoint can still run it.
+		return nil, usher.NewRefusal(usher.RefusalLeaving, "the endpoint is leaving")
+	}
 	if err != nil {
 		return nil, asRefusal(err, usher.OutcomeNotRun)
 	}
--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,113 @@
+package config
+
+import (
+	"sort"
+	"strings"
+
+	"filbertusher/pkg/usher"
+)
+
+// FieldError is one thing that is wrong with a declared object.
+type FieldError struct {
+	Key     usher.ObjectKey
+	Field   string
+	Problem string
+}
+
+// Error implements error.
+func (e *FieldError) Error() string {
+	return strings.TrimPrefix(string(e.Key), string(Prefix)) + ": " + e.Field + ": " + e.Problem
+}
+
+// CheckError is everything that is wrong with a configuration.
+type CheckError struct{ Errors []*FieldError }
+
+// Error implements error.
+func (e *CheckError) Error() string {
+	lines := make([]string, len(e.Errors))
+	for i, one := range e.Errors {
+		lines[i] = one.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// checker gathers what is wrong, so that an operator sees all of it at once.
+type checker struct {
+	snapshot *Snapshot
+	errors   []*FieldError
+}
+
+// Check says whether the objects fit together. It returns a *CheckError.
+func (s *Snapshot) Check() error {
+	c := &checker{snapshot: s}
+	models := make(map[usher.ModelName]usher.ServiceName)
+	for name, service := range s.Services {
+		c.service(name, service, models)
+	}
+	tokens := make(map[string]usher.WorkspaceName)
+	for name, workspace := range s.Workspaces {
+		c.workspace(name, workspace, tokens)
+	}
+	for name, preset := range s.Presets {
+		c.preset(name, preset)
+	}
+	for name, endpoint := range s.Endpoints {
+		c.endpoint(name, endpoint)
+	}
+	if s.inForce != nil && s.InForce == nil {
+		c.add(Key(KindInForce, InForceName), "preset", "no preset is in force")
+	}
+	if len(c.errors) == 0 {
+		return nil
+	}
+	sort.Slice(c.errors, func(i, j int) bool { return c.errors[i].Error() < c.errors[j].Error() })
+	return &CheckError{Errors: c.errors}
+}
+
+func (c *checker) add(key usher.ObjectKey, field, problem string) {
+	c.errors = append(c.errors, &FieldError{Key: key, Field: field, Problem: problem})
+}
+
+func (c *checker) service(name usher.ServiceName, service *usher.Service, models map[usher.ModelName]usher.ServiceName) {
+	key := Key(KindService, string(name))
+	if service.Kind != usher.ServiceModel {
+		return
+	}
+	if service.Model == "" {
+		c.add(key, "model", "a service of kind model needs the name of its model")
+		return
+	}
+	if other, taken := models[service.Model]; taken {
+		c.add(key, "model", "is served by service "+string(other)+" already")
+	}
+	models[service.Model] = name
+}
+
+func (c *checker) workspace(name usher.WorkspaceName, workspace *usher.Workspace, tokens map[string]usher.WorkspaceName) {
+	key := Key(KindWorkspace, string(name))
+	for _, tier := range workspace.Tiers {
+		if _, ok := c.snapshot.Tiers[tier]; !ok {
+			c.add(key, "tiers", "tier "+string(tier)+" is not declared")
+		}
+	}
+	for _, token := range workspace.Tokens {
+		if other, taken := tokens[token.SHA256]; taken {
+			c.add(key, "tokens", "token "+token.Name+" belongs to workspace "+string(other)+" already")
+		}
+		tokens[token.SHA256] = name
+	}
+}
+
+func (c *checker) preset(name usher.PresetName, preset *usher.Preset) {
+	for _, limits := range preset.Tiers {
+		if _, ok := c.snapshot.Tiers[limits.Tier]; !ok {
+			c.add(Key(KindPreset, string(name)), "tiers", "tier "+string(limits.Tier)+" is not declared")
+		}
+	}
+}
+
+func (c *checker) endpoint(name usher.EndpointName, endpoint *usher.Endpoint) {
+	if _, ok := c.snapshot.Services[endpoint.Service]; !ok {
+		c.add(Key(KindEndpoint, string(name)), "service", "service "+string(endpoint.Service)+" is not declared")
+	}
+}
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -2,20 +2,15 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"filbertusher/pkg/usher"
 )
 
 const (
-	// watchWait is how long one watch waits for a change.
-	watchWait = 20 * time.Second
-	// retryDelay is the pause after a failed call to the store.
+	// retryDelay is the pause after a failed write of a part.
 	retryDelay = 200 * time.Millisecond
 )
 
@@ -27,11 +22,27 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	heard   chan Rumour
+}
+
+// Rumour is the news that a peer holds a newer version.
+type Rumour struct {
+	// Peer is the address of its peer listener.
+	Peer    string
+	Version usher.Version
+}
+
+// Diverged says whether the newer of two heads was not built on the older one.
+func Diverged(a, b *Head) bool {
+	if a.ID == "" || b.ID == "" || a.ID == b.ID {
+		return false
+	}
+	return !a.builtOn(b) && !b.builtOn(a)
 }
 
 // NewHolder returns a holder of the empty snapshot.
 func NewHolder() *Holder {
-	h := &Holder{changed: make(chan struct{})}
+	h := &Holder{changed: make(chan struct{}), heard: make(chan Rumour, 1)}
 	h.current.Store(Empty())
 	return h
 }
@@ -46,11 +57,30 @@
 	return h.changed
 }
 
-// Offer takes a snapshot in if it is newer and says whether it did.
+// Hear takes note of the version that a message of a peer carried. It costs
+// one comparison when the version is not newer.
+func (h *Holder) Hear(peer string, version usher.Version) {
+	if version <= h.current.Load().Version || peer == "" {
+		return
+	}
+	select {
+	case h.heard <- Rumour{Peer: peer, Version: version}:
+	default:
+	}
+}
+
+// Heard delivers what Hear took note of.
+func (h *Holder) Heard() <-chan Rumour { return h.heard }
+
+// Offer takes a snapshot in if it is newer and says whether it did. A newer
+// one that was not built on the current one is refused as well: taking it in
+// would revert an accepted change. Such a snapshot exists only after the store
+// has lost history, and is merged by a process that watches the store.
 func (h *Holder) Offer(snapshot *Snapshot) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if snapshot.Version <= h.current.Load().Version {
+	current := h.current.Load()
+	if snapshot.Version <= current.Version || Diverged(&current.Head, &snapshot.Head) {
 		return false
 	}
 	h.current.Store(snapshot)
@@ -59,64 +89,6 @@
 	return true
 }
 
-// Follower keeps a holder up to date from the store.
-type Follower struct {
-	store  usher.Store
-	holder *Holder
-	log    zerolog.Logger
-}
-
-// NewFollower returns a follower; Run has to be called.
-func NewFollower(store usher.Store, holder *Holder, log zerolog.Logger) *Follower {
-	return &Follower{store: store, holder: holder, log: log}
-}
-
-// Run reads the configuration and follows its changes until ctx ends.
-func (f *Follower) Run(ctx context.Context) error {
-	var revision usher.Version
-	for ctx.Err() == nil {
-		next, err := f.step(ctx, revision)
-		var lost *usher.HistoryLostError
-		if errors.As(err, &lost) {
-			revision = 0
-			continue
-		}
-		if err != nil {
-			f.log.Warn().Err(err).Msg("configFollowFailed")
-			pause(ctx, retryDelay)
-			continue
-		}
-		revision = next
-	}
-	return nil
-}
-
-// step waits for a change after revision, unless none was ever read, and
-// takes in what the store holds then.
-func (f *Follower) step(ctx context.Context, revision usher.Version) (usher.Version, error) {
-	if revision > 0 {
-		events, next, err := f.store.Watch(ctx, Prefix, revision, watchWait)
-		if err != nil || len(events) == 0 {
-			return next, err
-		}
-	}
-	objects, next, err := f.store.List(ctx, Prefix)
-	if err != nil {
-		return revision, err
-	}
-	snapshot, err := Build(objects, next)
-	if err != nil {
-		// A malformed object must not stop the process; it keeps the last
-		// configuration that could be read and waits for the next change.
-		f.log.Error().Err(err).Msg("configMalformed")
-		return next, nil
-	}
-	if f.holder.Offer(snapshot) {
-		f.log.Info().Uint64("version", uint64(snapshot.Version)).Msg("configInForce")
-	}
-	return next, nil
-}
-
 func pause(ctx context.Context, delay time.Duration) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,184 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+
+	"filbertusher/pkg/usher"
+)
+
+// loadParallel bounds how many parts are read at the same time.
+const loadParallel = 16
+
+// DigestError is returned when a part does not have the content that it is
+// named by, or when the objects of a version don't add up to its head.
+type DigestError struct{ Key usher.ObjectKey }
+
+// Error implements error.
+func (e *DigestError) Error() string {
+	return "the content of " + string(e.Key) + " does not match its digest"
+}
+
+// LoadHead reads the head and the store's version of it, which a conditional
+// update needs. A store that has never held a configuration gives an empty
+// head at version 0.
+func LoadHead(ctx context.Context, store usher.Store) (*Head, usher.Version, error) {
+	object, err := store.Get(ctx, HeadKey)
+	var missing *usher.NotFoundError
+	if errors.As(err, &missing) {
+		return &Head{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	head := &Head{}
+	if err := json.Unmarshal(object.Value, head); err != nil {
+		return nil, 0, &ObjectError{Key: HeadKey, Cause: err}
+	}
+	return head, object.Version, nil
+}
+
+// LoadPast reads the head of a version that has been replaced since.
+func LoadPast(ctx context.Context, store usher.Store, version usher.Version) (*Head, error) {
+	object, err := store.Get(ctx, pastKey(version))
+	if err != nil {
+		return nil, err
+	}
+	head := &Head{}
+	if err := json.Unmarshal(object.Value, head); err != nil {
+		return nil, &ObjectError{Key: object.Key, Cause: err}
+	}
+	return head, nil
+}
+
+// Load returns the snapshot of a head. It reads only the parts in which from
+// differs from the head; from may be Empty.
+func Load(ctx context.Context, store usher.Store, head *Head, from *Snapshot) (*Snapshot, error) {
+	l := &loader{store: store, from: from, present: make(map[usher.ObjectKey]bool)}
+	if err := l.readPages(ctx, head); err != nil {
+		return nil, err
+	}
+	if err := l.readBuckets(ctx); err != nil {
+		return nil, err
+	}
+	snapshot, err := from.With(head, l.changed, l.deleted())
+	if err != nil {
+		return nil, err
+	}
+	return snapshot, snapshot.Verify()
+}
+
+// Verify says whether the objects are those that the head was accepted with.
+func (s *Snapshot) Verify() error {
+	for number, digest := range s.tree.pages {
+		var expected usher.Digest
+		if number < len(s.Head.Pages) {
+			expected = s.Head.Pages[number]
+		}
+		if digest != expected {
+			return &DigestError{Key: HeadKey}
+		}
+	}
+	return nil
+}
+
+type loader struct {
+	store usher.Store
+	from  *Snapshot
+
+	mu sync.Mutex
+	// differing maps each bucket that has to be read to its digest.
+	differing map[bucketIndex]usher.Digest
+	changed   []usher.Object
+	present   map[usher.ObjectKey]bool
+}
+
+// readPages finds the buckets that differ.
+func (l *loader) readPages(ctx context.Context, head *Head) error {
+	l.differing = make(map[bucketIndex]usher.Digest)
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(loadParallel)
+	for number := range pageCount {
+		var digest usher.Digest
+		if number < len(head.Pages) {
+			digest = head.Pages[number]
+		}
+		if digest == l.from.tree.pages[number] {
+			continue
+		}
+		group.Go(func() error { return l.readPage(ctx, number, digest) })
+	}
+	return group.Wait()
+}
+
+func (l *loader) readPage(ctx context.Context, number int, digest usher.Digest) error {
+	content := page{Buckets: make([]usher.Digest, bucketsPerPage)}
+	if err := l.read(ctx, pagePrefix, digest, &content); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, bucketDigest := range content.Buckets {
+		index := number*bucketsPerPage + i
+		if i < bucketsPerPage && bucketDigest != l.from.tree.buckets[index] {
+			l.differing[bucketIndex(index)] = bucketDigest
+		}
+	}
+	return nil
+}
+
+func (l *loader) readBuckets(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(loadParallel)
+	for _, digest := range l.differing {
+		group.Go(func() error {
+			var content bucket
+			if err := l.read(ctx, bucketPrefix, digest, &content); err != nil {
+				return err
+			}
+			l.take(content)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+func (l *loader) take(content bucket) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, object := range content.Objects {
+		l.present[object.Key] = true
+		l.changed = append(l.changed, usher.Object{Key: object.Key, Value: object.Value})
+	}
+}
+
+// deleted lists the objects that the differing buckets no longer hold.
+func (l *loader) deleted() []usher.ObjectKey {
+	var keys []usher.ObjectKey
+	l.from.each(func(key usher.ObjectKey, _ any) {
+		if _, differs := l.differing[bucketOf(key)]; differs && !l.present[key] {
+			keys = append(keys, key)
+		}
+	})
+	return keys
+}
+
+// read fetches a part; the part without a digest is empty.
+func (l *loader) read(ctx context.Context, prefix usher.ObjectKey, digest usher.Digest, into any) error {
+	if digest == "" {
+		return nil
+	}
+	key := prefix + usher.ObjectKey(digest)
+	object, err := l.store.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	if usher.DigestOf(object.Value) != digest {
+		return &DigestError{Key: key}
+	}
+	return json.Unmarshal(object.Value, into)
+}
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -3,8 +3,6 @@
 package config
 
 import (
-	"encoding/json"
-	"sort"
 	"strings"
 
 	"filbertusher/pkg/usher"
@@ -65,9 +63,14 @@
 	// InForce is the preset in force; nil when none was ever chosen.
 	InForce *usher.Preset
 
+	// Head is where the snapshot stands among the accepted changes.
+	Head Head
+
 	// identities maps the digest of a bearer token to its owner.
 	identities map[usher.Digest]Identity
-	objects    []usher.Object
+	// inForce is the stored choice of the preset, which may be absent.
+	inForce *usher.InForce
+	tree    tree
 }
 
 // ObjectError is returned for a stored object that can't be read.
@@ -99,11 +102,8 @@
 }
 
 // Empty returns the snapshot of a process that knows no configuration yet.
-func Empty() *Snapshot { return newSnapshot(0) }
-
-func newSnapshot(version usher.Version) *Snapshot {
+func Empty() *Snapshot {
 	return &Snapshot{
-		Version:    version,
 		Services:   make(map[usher.ServiceName]*usher.Service),
 		Models:     make(map[usher.ModelName]*usher.Service),
 		Workspaces: make(map[usher.WorkspaceName]*usher.Workspace),
@@ -117,71 +117,7 @@
 
 // Build returns the snapshot that the objects make at version.
 func Build(objects []usher.Object, version usher.Version) (*Snapshot, error) {
-	s := newSnapshot(version)
-	s.objects = objects
-	var inForce usher.InForce
-	for _, object := range objects {
-		if err := s.add(object, &inForce); err != nil {
-			return nil, &ObjectError{Key: object.Key, Cause: err}
-		}
-	}
-	s.index()
-	if inForce.Preset != "" {
-		preset, ok := s.Presets[inForce.Preset]
-		if !ok {
-			return nil, &MissingPresetError{Preset: inForce.Preset}
-		}
-		s.InForce = preset
-	}
-	return s, nil
-}
-
-func (s *Snapshot) add(object usher.Object, inForce *usher.InForce) error {
-	kind, _, _ := SplitKey(object.Key)
-	switch kind {
-	case KindService:
-		return decode(object.Value, func(v *usher.Service) { s.Services[v.Name] = v })
-	case KindWorkspace:
-		return decode(object.Value, func(v *usher.Workspace) { s.Workspaces[v.Name] = v })
-	case KindTier:
-		return decode(object.Value, func(v *usher.Tier) { s.Tiers[v.Name] = v })
-	case KindPreset:
-		return decode(object.Value, func(v *usher.Preset) { s.Presets[v.Name] = v })
-	case KindEndpoint:
-		return decode(object.Value, func(v *usher.Endpoint) { s.Endpoints[v.Name] = v })
-	case KindInForce:
-		return decode(object.Value, func(v *usher.InForce) { *inForce = *v })
-	default:
-		return &UnknownKindError{Kind: kind}
-	}
-}
-
-func decode[T any](value []byte, keep func(*T)) error {
-	decoded := new(T)
-	if err := json.Unmarshal(value, decoded); err != nil {
-		return err
-	}
-	keep(decoded)
-	return nil
-}
-
-func (s *Snapshot) index() {
-	for _, service := range s.Services {
-		if service.Kind == usher.ServiceModel {
-			s.Models[service.Model] = service
-		}
-	}
-	for _, endpoint := range s.Endpoints {
-		s.ByService[endpoint.Service] = append(s.ByService[endpoint.Service], endpoint)
-	}
-	for _, endpoints := range s.ByService {
-		sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].Name < endpoints[j].Name })
-	}
-	for _, workspace := range s.Workspaces {
-		for _, token := range workspace.Tokens {
-			s.identities[usher.Digest(token.SHA256)] = Identity{Workspace: workspace, TokenName: token.Name}
-		}
-	}
+	return Empty().With(&Head{Version: version}, objects, nil)
 }
 
 // Identify returns whose bearer token has the digest.
@@ -203,7 +139,3 @@
 	}
 	return usher.TierLimits{}, false
 }
-
-// Objects returns the stored objects that the snapshot was built from, for
-// peers that are behind. They must not be changed.
-func (s *Snapshot) Objects() []usher.Object { return s.objects }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -23,6 +23,7 @@
 // handle runs an accepted request and delivers what came of it.
 func (e *Entry) handle(w http.ResponseWriter, r *http.Request, accepted *request) {
 	e.metrics.requests(1)
+	defer e.inflight.enter(accepted)()
 	if err := e.Recorder.Accept(accepted.Rank); err != nil {
 		e.end(w, accepted, nil, asRefusal(err))
 		return
@@ -83,6 +84,7 @@
 	reply := &wire.SubmitReply{}
 	err := peer.link.Call(ctx, wire.MethodSubmit, args, reply)
 	if err == nil {
+		e.Config.Hear(peer.link.Address(), reply.ConfigVersion)
 		got, final = e.judge(reply, stream)
 	} else {
 		got, final = e.settle(ctx, accepted, peer, stream, err)
@@ -122,7 +124,7 @@
 }
 
 func (e *Entry) caller() wire.Caller {
-	return wire.Caller{Incarnation: e.options.Incarnation, ConfigVersion: e.Config.Current().Version}
+	return wire.Caller{Incarnation: e.options.Incarnation, ConfigVersion: e.Config.Current().Version, Peer: e.options.Peer}
 }
 
 func asRefusal(err error) *usher.Refusal {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,8 @@
 	MaxTimeout time.Duration
 	// BodyTimeout bounds how long a caller may take to send its request.
 	BodyTimeout time.Duration
+	// Peer is the address of the entry's own peer listener.
+	Peer string
 }
 
 // Dependencies are what an entry works with.
@@ -37,10 +39,11 @@
 // Entry is the state of the process.
 type Entry struct {
 	Dependencies
-	options Options
-	peers   *peers
-	ids     idSource
-	metrics metrics
+	options  Options
+	peers    *peers
+	ids      idSource
+	metrics  metrics
+	inflight inflight
 }
 
 type metrics struct {
@@ -85,5 +88,7 @@
 		"incarnation":   e.options.Incarnation,
 		"configVersion": e.Config.Current().Version,
 		"peers":         e.peers.state(),
+		"inFlight":      e.inflight.count.Load(),
+		"inFlightIds":   e.inflight.ids(maxReported),
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -169,6 +169,7 @@
 			continue
 		}
 		p.entry.Placer.Observe(reply.Load)
+		p.entry.Config.Hear(p.link.Address(), reply.ConfigVersion)
 		if reply.Batch != ack {
 			p.deliver(reply.Events)
 		}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -48,7 +48,11 @@
 	stop := context.AfterFunc(ctx, func() {
 		limit, cancel := context.WithTimeout(context.Background(), grace)
 		defer cancel()
-		stopped <- server.Shutdown(limit)
+		err := server.Shutdown(limit)
+		if err != nil {
+			e.reportCut()
+		}
+		stopped <- err
 	})
 	defer stop()
 	err := server.Serve(listener)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/operator"
 	"filbertusher/internal/platform"
 	"filbertusher/pkg/usher"
 )
@@ -122,15 +123,13 @@
 	return err
 }
 
-// Put writes a declared object, whatever its version was.
+// Put declares an object in the way that operators do.
 func (f *Fleet) Put(ctx context.Context, kind config.Kind, name string, object any) (usher.Version, error) {
-	value, err := json.Marshal(object)
+	head, err := operator.New(f.Client, "fleet").Put(ctx, kind, name, object)
 	if err != nil {
 		return 0, err
 	}
-	key := config.Key(kind, name)
-	current, _ := f.Client.Get(ctx, key)
-	return f.Client.Put(ctx, key, current.Version, value)
+	return head.Version, nil
 }
 
 // Control sends a setting to the control URL of a stand-in.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -21,6 +21,7 @@
 	MethodWithdraw = "Companion.Withdraw"
 	MethodCollect  = "Companion.Collect"
 	MethodSnapshot = "Peer.Snapshot"
+	MethodPage     = "Peer.Page"
 )
 
 // Caller is embedded in every request.
@@ -28,6 +29,9 @@
 	// Incarnation of the calling process; streams and reservations belong to it.
 	Incarnation   usher.Incarnation
 	ConfigVersion usher.Version
+	// Peer is the address of the calling process's own peer listener, so that
+	// the called one can fetch a newer configuration from there.
+	Peer string
 }
 
 // Status is embedded in every reply.
@@ -156,13 +160,38 @@
 	Digest usher.Digest
 }
 
-// SnapshotArgs asks a peer for its configuration if that is newer.
+// SnapshotArgs asks a peer for what has changed in the configuration since the
+// caller's version. The reply comes when there is a newer one or Wait is over.
 type SnapshotArgs struct {
 	Caller
+	// Change is the id of the change that the caller's version was made by.
+	Change string
+	Wait   time.Duration
 }
 
-// SnapshotReply carries the objects of a newer configuration, or none.
+// SnapshotReply carries what has changed, or nothing but the status. Objects
+// that changed more often are in it once, as they are now.
 type SnapshotReply struct {
+	Status
+	// Head is the encoded head of the newer version.
+	Head    []byte
+	Objects []usher.Object
+	Deleted []usher.ObjectKey
+	// Full says that the peer no longer knows what has changed; the caller has
+	// to fetch the pages that differ by MethodPage.
+	Full bool
+}
+
+// PageArgs asks for the objects of one page of the configuration.
+type PageArgs struct {
+	Caller
+	// Version is that of the head whose page is asked for.
+	Version usher.Version
+	Page    int
+}
+
+// PageReply carries the objects of a page.
+type PageReply struct {
 	Status
 	Objects []usher.Object
 }
