--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -12,17 +12,20 @@
 // Difference returns what has to be changed in from to get to.
 func Difference(from, to *Snapshot) (changed []usher.Object, deleted []usher.ObjectKey) {
 	differs := func(index bucketIndex) bool { return from.tree.buckets[index] != to.tree.buckets[index] }
-	to.each(func(key usher.ObjectKey, value any) {
-		if !differs(bucketOf(key)) {
+	to.each(func(kind Kind, name string, value any) {
+		if !differs(bucketOf(kind, name)) {
 			return
 		}
-		object := encodeObject(key, value)
-		if before, ok := from.Object(key); !ok || !bytes.Equal(before.Value, object.Value) {
+		object := encodeObject(Key(kind, name), value)
+		if before, ok := from.Object(object.Key); !ok || !bytes.Equal(before.Value, object.Value) {
 			changed = append(changed, object)
 		}
 	})
-	from.each(func(key usher.ObjectKey, _ any) {
-		if differs(bucketOf(key)) && to.lookup(key) == nil {
+	from.each(func(kind Kind, name string, _ any) {
+		if !differs(bucketOf(kind, name)) {
+			return
+		}
+		if key := Key(kind, name); to.lookup(key) == nil {
 			deleted = append(deleted, key)
 		}
 	})
@@ -41,9 +44,9 @@
 // PageObjects returns the objects of one page.
 func (s *Snapshot) PageObjects(number int) []usher.Object {
 	var objects []usher.Object
-	s.each(func(key usher.ObjectKey, value any) {
-		if pageOf(bucketOf(key)) == number {
-			objects = append(objects, encodeObject(key, value))
+	s.each(func(kind Kind, name string, value any) {
+		if pageOf(bucketOf(kind, name)) == number {
+			objects = append(objects, encodeObject(Key(kind, name), value))
 		}
 	})
 	return objects
@@ -60,8 +63,11 @@
 		}
 	}
 	var deleted []usher.ObjectKey
-	s.each(func(key usher.ObjectKey, _ any) {
-		if _, replaced := pages[pageOf(bucketOf(key))]; replaced && !present[key] {
+	s.each(func(kind Kind, name string, _ any) {
+		if _, replaced := pages[pageOf(bucketOf(kind, name))]; !replaced {
+			return
+		}
+		if key := Key(kind, name); !present[key] {
 			deleted = append(deleted, key)
 		}
 	})
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -159,8 +159,11 @@
 // deleted lists the objects that the differing buckets no longer hold.
 func (l *loader) deleted() []usher.ObjectKey {
 	var keys []usher.ObjectKey
-	l.from.each(func(key usher.ObjectKey, _ any) {
-		if _, differs := l.differing[bucketOf(key)]; differs && !l.present[key] {
+	l.from.each(func(kind Kind, name string, _ any) {
+		if _, differs := l.differing[bucketOf(kind, name)]; !differs {
+			return
+		}
+		if key := Key(kind, name); !l.present[key] {
 			keys = append(keys, key)
 		}
 	})
--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -12,25 +12,27 @@
 // double the memory of a process. Encoding is canonical, so they can be made
 // again whenever a peer asks or a digest is computed.
 
-// each calls visit with every object and its decoded value.
-func (s *Snapshot) each(visit func(key usher.ObjectKey, value any)) {
+// each calls visit with every object and its decoded value. The parts of the
+// key come apart, because most visitors need only the bucket, and joining tens
+// of thousands of keys would cost more than all else in a change.
+func (s *Snapshot) each(visit func(kind Kind, name string, value any)) {
 	for name, value := range s.Services {
-		visit(Key(KindService, string(name)), value)
+		visit(KindService, string(name), value)
 	}
 	for name, value := range s.Workspaces {
-		visit(Key(KindWorkspace, string(name)), value)
+		visit(KindWorkspace, string(name), value)
 	}
 	for name, value := range s.Tiers {
-		visit(Key(KindTier, string(name)), value)
+		visit(KindTier, string(name), value)
 	}
 	for name, value := range s.Presets {
-		visit(Key(KindPreset, string(name)), value)
+		visit(KindPreset, string(name), value)
 	}
 	for name, value := range s.Endpoints {
-		visit(Key(KindEndpoint, string(name)), value)
+		visit(KindEndpoint, string(name), value)
 	}
 	if s.inForce != nil {
-		visit(Key(KindInForce, InForceName), s.inForce)
+		visit(KindInForce, InForceName, s.inForce)
 	}
 }
 
@@ -75,16 +77,16 @@
 // Objects returns the canonical encoding of every object, in no order.
 func (s *Snapshot) Objects() []usher.Object {
 	var objects []usher.Object
-	s.each(func(key usher.ObjectKey, value any) { objects = append(objects, encodeObject(key, value)) })
+	s.each(func(kind Kind, name string, value any) { objects = append(objects, encodeObject(Key(kind, name), value)) })
 	return objects
 }
 
 // members returns the encoded objects of the wanted buckets.
 func (s *Snapshot) members(wanted func(bucketIndex) bool) map[bucketIndex][]usher.Object {
 	found := make(map[bucketIndex][]usher.Object)
-	s.each(func(key usher.ObjectKey, value any) {
-		if index := bucketOf(key); wanted(index) {
-			found[index] = append(found[index], encodeObject(key, value))
+	s.each(func(kind Kind, name string, value any) {
+		if index := bucketOf(kind, name); wanted(index) {
+			found[index] = append(found[index], encodeObject(Key(kind, name), value))
 		}
 	})
 	return found
--- a/internal/config/save.go
+++ b/internal/config/save.go
@@ -135,7 +135,7 @@
 }
 
 // partAttempts is how often the write of a part is tried.
-const partAttempts = 3
+const partAttempts = 10
 
 // SaveHead replaces the head, on the condition that it is at expected.
 func (s *Snapshot) SaveHead(ctx context.Context, store usher.Store, expected usher.Version) error {
--- a/internal/config/tree.go
+++ b/internal/config/tree.go
@@ -55,8 +55,13 @@
 }
 
 // bucketOf returns the bucket that an object belongs to.
-func bucketOf(key usher.ObjectKey) bucketIndex {
-	return bucketIndex(xxhash.Sum64String(string(key)) % bucketCount)
+func bucketOf(kind Kind, name string) bucketIndex {
+	var hash xxhash.Digest
+	hash.Reset()
+	_, _ = hash.WriteString(string(kind))
+	_, _ = hash.WriteString("/")
+	_, _ = hash.WriteString(name)
+	return bucketIndex(hash.Sum64() % bucketCount)
 }
 
 // pageOf returns the page that names a bucket.
--- a/internal/config/update.go
+++ b/internal/config/update.go
@@ -65,7 +65,7 @@
 func (u *update) remove(key usher.ObjectKey) {
 	kind, name, _ := SplitKey(key)
 	u.copyOnce(kind)
-	u.touched[bucketOf(key)] = true
+	u.touched[bucketOf(kind, name)] = true
 	s := u.next
 	switch kind {
 	case KindService:
@@ -87,7 +87,7 @@
 func (u *update) put(object usher.Object) error {
 	kind, name, _ := SplitKey(object.Key)
 	u.copyOnce(kind)
-	u.touched[bucketOf(object.Key)] = true
+	u.touched[bucketOf(kind, name)] = true
 	s := u.next
 	switch kind {
 	case KindService:
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"filbertusher/internal/config"
@@ -71,7 +72,7 @@
 			return nil, false, err
 		}
 	}
-	if err := o.conflict(change, base, *current); err != nil {
+	if err := o.conflict(ctx, change, base, *current); err != nil {
 		return nil, false, err
 	}
 	next, err := o.draft(change, *current)
@@ -95,6 +96,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if current.InForce != nil && next.InForce == nil {
+		return nil, &config.CheckError{Errors: []*config.FieldError{{
+			Key: config.Key(config.KindInForce, config.InForceName), Field: "preset", Problem: "one preset has to stay in force",
+		}}}
+	}
 	return next, next.Check()
 }
 
@@ -156,8 +162,8 @@
 }
 
 // conflict says whether somebody else has changed an object of the change
-// since base, to something other than what the change wants.
-func (o *Operator) conflict(change *Change, base, current *config.Snapshot) error {
+// since base.
+func (o *Operator) conflict(ctx context.Context, change *Change, base, current *config.Snapshot) error {
 	if base.Head.ID == current.Head.ID {
 		return nil
 	}
@@ -172,17 +178,34 @@
 		if bytes.Equal(before.Value, now.Value) {
 			continue
 		}
-		conflict.Keys = append(conflict.Keys, key)
 		conflict.Values = append(conflict.Values, ConflictValue{
 			Key: key, Base: string(before.Value), Theirs: string(now.Value), Ours: wanted[key],
 		})
 	}
-	if len(conflict.Keys) == 0 {
+	if len(conflict.Values) == 0 {
 		return nil
 	}
+	conflict.Theirs = o.lastChange(ctx, base, current, conflict.Values[0].Key)
 	return conflict
 }
 
+// lastChange finds the newest change of an object after base. When the history
+// can't be read, the newest change of all is what can be shown.
+func (o *Operator) lastChange(ctx context.Context, base, current *config.Snapshot, key usher.ObjectKey) config.Head {
+	head := &current.Head
+	for head.Version > base.Version {
+		if head.Truncated || slices.Contains(head.Changed, key) {
+			return *head
+		}
+		past, err := config.LoadPast(ctx, o.store, head.Version-1)
+		if err != nil {
+			break
+		}
+		head = past
+	}
+	return current.Head
+}
+
 // Put declares one object, for tools that make declarations by program.
 func (o *Operator) Put(ctx context.Context, kind config.Kind, name string, object any) (*config.Head, error) {
 	value, err := json.Marshal(object)
@@ -247,6 +270,12 @@
 		return nil, err
 	}
 	changed, deleted := config.Difference(current, earlier)
+	if earlier.InForce == nil {
+		// Some preset has to be in force, so the one of now stays.
+		deleted = slices.DeleteFunc(deleted, func(key usher.ObjectKey) bool {
+			return key == config.Key(config.KindInForce, config.InForceName)
+		})
+	}
 	return o.Apply(ctx, Change{Note: note, Put: changed, Delete: deleted, Expect: current.Version})
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -50,14 +50,12 @@
 // ConflictError is returned when somebody else has changed the same objects.
 // It shows both changes.
 type ConflictError struct {
-	// Keys are the objects that both change.
-	Keys []usher.ObjectKey
-	// Theirs is the head of the change that was accepted.
+	// Theirs is the accepted change of the first of the objects.
 	Theirs config.Head
 	// Ours is the change that was not.
 	Ours   Change
 	Author string
-	// Values shows each object as it was, as they made it and as we wanted it.
+	// Values shows each object that both change as it was, as they made it and as we wanted it.
 	Values []ConflictValue
 }
 
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -23,6 +23,9 @@
 	suspension = 5 * time.Second
 	// acrossInterval is the pause between two questions across the fleet.
 	acrossInterval = 5 * time.Second
+	// burstInterval is the least time between two versions that a process takes
+	// in from one tree. It bounds the processor time that a burst costs.
+	burstInterval = 50 * time.Millisecond
 	// refusedDelay is the pause after a version that could not be taken in.
 	refusedDelay = time.Second
 )
@@ -38,10 +41,14 @@
 // there is none, until ctx ends.
 func (s *Spread) follow(ctx context.Context, order treeOrder) error {
 	for ctx.Err() == nil {
-		if s.pollFirst(ctx, s.chain(order)) {
-			continue
+		before := s.holder.Current().Version
+		if !s.pollFirst(ctx, s.chain(order)) {
+			s.watchOnce(ctx)
+		}
+		if s.holder.Current().Version > before {
+			// In a burst of changes the next poll brings many at once.
+			pause(ctx, burstInterval)
 		}
-		s.watchOnce(ctx)
 	}
 	return nil
 }
