--- a/internal/companion/drain.go
+++ b/internal/companion/drain.go
@@ -130,7 +130,7 @@
 	c.Log.Info().Bool("leaving", leaving).Msg("leavingAnnounced")
 	if leaving {
 		c.drain.start()
-		c.outlets.wake()
+		c.outlets.wakeAll()
 		return
 	}
 	if !c.stopping.Load() {
@@ -152,7 +152,7 @@
 func (c *Companion) Drain(ctx context.Context) error {
 	c.stopping.Store(true)
 	idle := c.drain.start()
-	c.outlets.wake()
+	c.outlets.wakeAll()
 	select {
 	case <-idle:
 	case <-ctx.Done():
--- a/internal/config/objects.go
+++ b/internal/config/objects.go
@@ -77,7 +77,9 @@
 // Objects returns the canonical encoding of every object, in no order.
 func (s *Snapshot) Objects() []usher.Object {
 	var objects []usher.Object
-	s.each(func(kind Kind, name string, value any) { objects = append(objects, encodeObject(Key(kind, name), value)) })
+	s.each(func(kind Kind, name string, value any) {
+		objects = append(objects, encodeObject(Key(kind, name), value))
+	})
 	return objects
 }
 
--- a/internal/config/update_test.go
+++ b/internal/config/update_test.go
@@ -156,7 +156,7 @@
 			offered := rapid.SampledFrom(lines).Draw(t, "offered")
 			before := holder.Current()
 			taken := holder.Offer(offered)
-			should := offered.Version > before.Version && (descends[offered.Head.ID][before.Head.ID])
+			should := offered.Version > before.Version && descends[offered.Head.ID][before.Head.ID]
 			if taken != should {
 				t.Fatalf("offer of %s at %d over %s at %d: taken %v", offered.Head.ID, offered.Version, before.Head.ID, before.Version, taken)
 			}
