--- a/internal/companion/outlet.go
+++ b/internal/companion/outlet.go
@@ -274,6 +274,16 @@
 	return all
 }
 
+// wakeAll ends the wait of every entry, so that each hears the status at once.
+func (o *outlets) wakeAll() {
+	for _, one := range o.all() {
+		one.mu.Lock()
+		close(one.superseded)
+		one.superseded = make(chan struct{})
+		one.mu.Unlock()
+	}
+}
+
 // flushed waits until the entries have acknowledged every event. Entries that
 // are gone are not waited for.
 func (o *outlets) flushed(ctx context.Context) error {
