Write log lines cheaply, bound threads, wait for peers to be set up

Cause: a fifth of an entry's processor time for a short request went into zerolog's ConsoleWriter, which decodes each event; idle threads looked for work at every token; a request that knew a configuration before the peers did was refused (seen once in freeze_companion: "503 overloaded"). Ruled out: an asynchronous log writer (it loses the last lines of a crash). Faults: tests that a request of unknown outcome is repeated only where declared idempotent.

--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -17,9 +17,13 @@
 	"filbertusher/pkg/usher"
 )
 
+// companionProcessors is how many threads of the process run at once by default.
+const companionProcessors = 2
+
 // companionProcess is the settings of the companion.
 type companionProcess struct {
 	process
+	tuning
 	listen          string
 	endpointName    string
 	endpointAddress string
@@ -33,6 +37,7 @@
 	command := New("companion", "stand beside an endpoint and send it its work")
 	p := &companionProcess{}
 	p.declare(command.Settings)
+	p.declareTuning(command.Settings, companionProcessors)
 	command.Settings.Address(&p.listen, "listen", "127.0.0.1:9090", true, "where entries reach this process")
 	command.Settings.Text(&p.endpointName, "endpoint", "", true, "the name of the endpoint's declaration")
 	command.Settings.Address(&p.endpointAddress, "endpoint-address", "", true, "where the endpoint itself is reached")
@@ -53,6 +58,7 @@
 }
 
 func (p *companionProcess) run(signalled context.Context, _, errOut io.Writer) error {
+	p.tune()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ctx, err := p.start(ctx, errOut)
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -16,9 +16,13 @@
 // recordLimit is how many decisions a process keeps in memory.
 const recordLimit = 100000
 
+// entryProcessors is how many threads of the process run at once by default.
+const entryProcessors = 4
+
 // entryProcess is the settings of the entry.
 type entryProcess struct {
 	process
+	tuning
 	listen         string
 	peerListen     string
 	maxBody        int
@@ -31,6 +35,7 @@
 	command := New("entry", "serve callers")
 	p := &entryProcess{}
 	p.declare(command.Settings)
+	p.declareTuning(command.Settings, entryProcessors)
 	command.Settings.Address(&p.listen, "listen", "127.0.0.1:8080", true, "where callers reach this process")
 	command.Settings.Address(&p.peerListen, "peer-listen", "127.0.0.1:0", true, "where other processes of the system reach this one")
 	command.Settings.Int(&p.maxBody, "max-body", 8<<20, 1<<10, 256<<20, "the largest body of a request, in bytes")
@@ -42,6 +47,7 @@
 }
 
 func (p *entryProcess) run(signalled context.Context, _, errOut io.Writer) error {
+	p.tune()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ctx, err := p.start(ctx, errOut)
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -59,6 +59,7 @@
 		return ctx, err
 	}
 	p.log = telemetry.NewLogger(errOut, level)
+	telemetry.RedirectStandardLog(p.log)
 	p.incarnation = usher.Incarnation(uuid.NewString())
 	p.store = platform.New(p.storeAddress, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeConnections}})
 	p.config = config.NewHolder()
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -44,6 +44,7 @@
 	outlet := r.companion.outlets.of(args.Incarnation)
 	reply.Session = outlet.session
 	reply.Batch, reply.Events = outlet.collect(args.Session, args.Ack, args.Wait)
+	r.companion.metrics.events(int64(len(reply.Events)))
 	reply.Status = r.companion.status()
 	return nil
 }
--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -71,7 +71,6 @@
 	reader := &streamReader{
 		outlet: w.companion.outlets.of(w.args.Incarnation), number: w.args.Stream,
 		digest: sha256.New(), slot: slot, last: started, prompt: w.args.Header.Cost.PromptTokens,
-		count: w.companion.metrics.events,
 	}
 	err := reader.copy(ctx, stream)
 	for attempt := 0; err != nil && ctx.Err() == nil && attempt < resumeAttempts; attempt++ {
@@ -119,7 +118,6 @@
 	slot   usher.Slot
 	last   time.Time
 	prompt usher.Tokens
-	count  func(int64)
 }
 
 // GapError is returned when a stream skips an event.
@@ -171,6 +169,5 @@
 	r.last = now
 	r.next++
 	r.digest.Write(event.Data)
-	r.count(1)
 	return r.outlet.add(ctx, wire.Event{Stream: r.number, Offset: event.Offset, Data: event.Data})
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -68,7 +68,7 @@
 // offer sends the request to one endpoint. final is false when it certainly
 // did not run there and may be offered elsewhere.
 func (e *Entry) offer(ctx context.Context, accepted *request, endpoint usher.EndpointName, mayWait bool) (got result, final bool) {
-	peer := e.peers.of(endpoint)
+	peer := e.peers.of(ctx, endpoint, accepted.snapshot.Version)
 	if peer == nil {
 		return result{}, false
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,10 +14,14 @@
 
 	mu     sync.RWMutex
 	byName map[usher.EndpointName]*peer
+	// aligned is the configuration that the peers follow; moved is closed and
+	// replaced when it changes.
+	aligned usher.Version
+	moved   chan struct{}
 }
 
 func newPeers(entry *Entry) *peers {
-	return &peers{entry: entry, byName: make(map[usher.EndpointName]*peer)}
+	return &peers{entry: entry, byName: make(map[usher.EndpointName]*peer), moved: make(chan struct{})}
 }
 
 // run follows the configuration: new endpoints get a peer, others lose it.
@@ -34,7 +38,8 @@
 }
 
 func (p *peers) align(ctx context.Context) {
-	declared := p.entry.Config.Current().Endpoints
+	snapshot := p.entry.Config.Current()
+	declared := snapshot.Endpoints
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, existing := range p.byName {
@@ -49,6 +54,9 @@
 			p.byName[name] = p.connect(ctx, endpoint)
 		}
 	}
+	p.aligned = snapshot.Version
+	close(p.moved)
+	p.moved = make(chan struct{})
 }
 
 func (p *peers) connect(ctx context.Context, endpoint *usher.Endpoint) *peer {
@@ -58,10 +66,22 @@
 	return connected
 }
 
-func (p *peers) of(endpoint usher.EndpointName) *peer {
-	p.mu.RLock()
-	defer p.mu.RUnlock()
-	return p.byName[endpoint]
+// of returns the peer of an endpoint, or nil when it has none. A request may
+// know a newer configuration than the peers follow yet; it waits for them.
+func (p *peers) of(ctx context.Context, endpoint usher.EndpointName, version usher.Version) *peer {
+	for {
+		p.mu.RLock()
+		found, aligned, moved := p.byName[endpoint], p.aligned, p.moved
+		p.mu.RUnlock()
+		if found != nil || aligned >= version {
+			return found
+		}
+		select {
+		case <-moved:
+		case <-ctx.Done():
+			return nil
+		}
+	}
 }
 
 func (p *peers) closeAll() {
--- a/internal/standin/bench/bench.go
+++ b/internal/standin/bench/bench.go
@@ -29,6 +29,8 @@
 	StreamTokens int
 	// Waiting requests are held in front of a full endpoint.
 	Waiting int
+	// Profiles is a folder for processor profiles of the path, or empty.
+	Profiles string
 }
 
 const (
@@ -177,10 +179,12 @@
 			return err
 		}
 		started := time.Now()
+		stop := b.profile(ctx, w, t, "short")
 		if err := b.flood(ctx, t, body); err != nil {
 			return err
 		}
 		elapsed := time.Since(started)
+		stop()
 		after, err := w.spent()
 		if err != nil {
 			return err
--- a/internal/standin/bench/streams.go
+++ b/internal/standin/bench/streams.go
@@ -41,7 +41,9 @@
 		if err != nil {
 			return err
 		}
+		stop := b.profile(ctx, w, t, "streams")
 		gaps, used, err := b.streamAll(ctx, w, t)
+		stop()
 		if err != nil {
 			return err
 		}
--- a/internal/standin/commands/bench.go
+++ b/internal/standin/commands/bench.go
@@ -18,6 +18,7 @@
 	c.Settings.Int(&options.Streams, "streams", 1000, 1, 10000, "concurrent streams")
 	c.Settings.Int(&options.StreamTokens, "stream-tokens", 200, 2, 100000, "tokens of each stream")
 	c.Settings.Int(&options.Waiting, "waiting", 10000, 1, 15000, "requests that wait for one endpoint")
+	c.Settings.Text(&options.Profiles, "profiles", "", false, "a folder for processor profiles of the path, or empty")
 	c.Run = func(ctx context.Context, out, _ io.Writer) error {
 		self, err := os.Executable()
 		if err != nil {
--- /dev/null
+++ b/internal/telemetry/line.go
@@ -0,0 +1,131 @@
+package telemetry
+
+import (
+	"bytes"
+	"io"
+	"sync"
+
+	"github.com/rs/zerolog"
+)
+
+// lineWriter turns the flat JSON object that zerolog writes for an event into
+// one line of key=value pairs:
+//
+//	{"level":"info","listen":"127.0.0.1:80","time":"...","message":"listening"}
+//	time=... level=info event=listening listen=127.0.0.1:80
+//
+// It copies bytes and decodes nothing, because it runs for every request: a
+// string that needs quotes keeps those of its JSON form, escapes included.
+type lineWriter struct {
+	out io.Writer
+
+	mu     sync.Mutex
+	line   []byte
+	fields []byte
+}
+
+// Write implements io.Writer. It is called once for each event.
+func (w *lineWriter) Write(event []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var when, level, name []byte
+	w.fields = w.fields[:0]
+	rest := event
+	for {
+		var key, value []byte
+		if key, value, rest = nextPair(rest); key == nil {
+			break
+		}
+		switch string(key) {
+		case zerolog.TimestampFieldName:
+			when = value
+		case zerolog.LevelFieldName:
+			level = value
+		case zerolog.MessageFieldName:
+			name = value
+		default:
+			w.fields = append(w.fields, ' ')
+			w.fields = appendPair(w.fields, string(key), value)
+		}
+	}
+	w.line = appendPair(w.line[:0], "time", when)
+	w.line = appendPair(append(w.line, ' '), "level", level)
+	w.line = appendPair(append(w.line, ' '), "event", name)
+	w.line = append(w.line, w.fields...)
+	w.line = append(w.line, '\n')
+	if _, err := w.out.Write(w.line); err != nil {
+		return 0, err
+	}
+	return len(event), nil
+}
+
+func appendPair(line []byte, key string, value []byte) []byte {
+	line = append(line, key...)
+	line = append(line, '=')
+	return append(line, plain(value)...)
+}
+
+// plain takes the quotes off a string that reads well without them.
+func plain(value []byte) []byte {
+	if len(value) < 2 || value[0] != '"' {
+		return value
+	}
+	inner := value[1 : len(value)-1]
+	if bytes.ContainsAny(inner, " =\\") {
+		return value
+	}
+	return inner
+}
+
+// nextPair cuts the next key and raw value off a flat JSON object. The key is
+// nil at the end of the object.
+func nextPair(rest []byte) (key, value, after []byte) {
+	start := bytes.IndexByte(rest, '"')
+	if start < 0 {
+		return nil, nil, nil
+	}
+	end := start + stringLength(rest[start:])
+	colon := bytes.IndexByte(rest[end:], ':')
+	if colon < 0 {
+		return nil, nil, nil
+	}
+	from := end + colon + 1
+	length := valueLength(rest[from:])
+	return rest[start+1 : end-1], rest[from : from+length], rest[from+length:]
+}
+
+// stringLength returns the length of the JSON string that text begins with.
+func stringLength(text []byte) int {
+	for i := 1; i < len(text); i++ {
+		switch text[i] {
+		case '\\':
+			i++
+		case '"':
+			return i + 1
+		}
+	}
+	return len(text)
+}
+
+// valueLength returns the length of the JSON value that text begins with.
+func valueLength(text []byte) int {
+	depth := 0
+	for i := 0; i < len(text); i++ {
+		switch text[i] {
+		case '"':
+			i += stringLength(text[i:]) - 1
+		case '{', '[':
+			depth++
+		case '}', ']':
+			if depth == 0 {
+				return i
+			}
+			depth--
+		case ',':
+			if depth == 0 {
+				return i
+			}
+		}
+	}
+	return len(text)
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -4,7 +4,8 @@
 import (
 	"expvar"
 	"io"
-	"time"
+	"log"
+	"strings"
 
 	"github.com/rs/zerolog"
 )
@@ -12,30 +13,26 @@
 // NewLogger returns a logger that writes one line of key=value pairs for each
 // event, beginning with time, level and event.
 func NewLogger(out io.Writer, level zerolog.Level) zerolog.Logger {
-	writer := zerolog.ConsoleWriter{
-		Out:        out,
-		NoColor:    true,
-		TimeFormat: time.RFC3339Nano,
-		FormatTimestamp: func(value any) string {
-			text, _ := value.(string)
-			return "time=" + text
-		},
-		FormatLevel: func(value any) string {
-			text, _ := value.(string)
-			return "level=" + text
-		},
-		FormatMessage: func(value any) string {
-			text, _ := value.(string)
-			return "event=" + text
-		},
-		FormatFieldName: func(value any) string {
-			text, _ := value.(string)
-			return text + "="
-		},
-	}
+	writer := &lineWriter{out: out}
 	return zerolog.New(writer).Level(level).With().Timestamp().Logger()
 }
 
+// RedirectStandardLog sends what libraries write to the standard log to the
+// logger, so that every line has the same form.
+func RedirectStandardLog(logger zerolog.Logger) {
+	log.SetFlags(0)
+	log.SetOutput(standardLog{logger})
+}
+
+// standardLog is one line of the standard log for each Write.
+type standardLog struct{ logger zerolog.Logger }
+
+// Write implements io.Writer.
+func (s standardLog) Write(line []byte) (int, error) {
+	s.logger.Warn().Str("text", strings.TrimSpace(string(line))).Msg("libraryLog")
+	return len(line), nil
+}
+
 // Metrics is a named group of counters under /debug/vars. expvar panics when a
 // name is published twice, so a group is made at most once a name and shared
 // by tests that run in one process.
--- a/test/path/faults_test.go
+++ b/test/path/faults_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"filbertusher/internal/config"
 	"filbertusher/internal/standin/engine"
 	"filbertusher/internal/standin/fault"
 	"filbertusher/internal/standin/fleet"
@@ -75,7 +76,7 @@
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	commands := map[string]func(*testing.T, *datadriven.TestData) (string, error){
 		"start": s.start, "ask": s.ask, "order": s.order, "await": s.await, "result": s.result,
-		"hangup": s.hangup, "process": s.process, "link": s.link, "totals": s.totals,
+		"hangup": s.hangup, "process": s.process, "link": s.link, "totals": s.totals, "declare": s.declare, "executions": s.executions,
 	}
 	command, ok := commands[d.Cmd]
 	if !ok {
@@ -303,9 +304,64 @@
 	return "", nil
 }
 
-// process: "process kill|freeze|wake NAME".
+// declare: "declare idempotent=true|false" changes the model service.
+func (s *script) declare(t *testing.T, d *datadriven.TestData) (string, error) {
+	var idempotent bool
+	d.ScanArgs(t, "idempotent", &idempotent)
+	service := usher.Service{Name: fleet.Advice, Kind: usher.ServiceModel, Model: fleet.Model, Idempotent: idempotent}
+	version, err := s.whole.Put(s.ctx, config.KindService, string(fleet.Advice), service)
+	if err != nil {
+		return "", err
+	}
+	for _, entry := range s.whole.Entries {
+		if _, err := entry.Await(s.ctx, "configInForce", fmt.Sprintf("version=%d", version)); err != nil {
+			return "", err
+		}
+	}
+	return "", nil
+}
+
+// executions prints how many requests the engines have begun to run.
+func (s *script) executions(*testing.T, *datadriven.TestData) (string, error) {
+	sum := 0
+	for _, member := range s.whole.Engines {
+		var seen engine.Totals
+		if err := member.Inspect(s.ctx, "totals", &seen); err != nil {
+			return "", err
+		}
+		sum += int(seen.Executions)
+	}
+	return strconv.Itoa(sum), nil
+}
+
+// serving returns the companion whose engine has begun to run a request.
+func (s *script) serving() (string, error) {
+	name := ""
+	err := s.poll(func() (bool, error) {
+		for i, member := range s.whole.Engines {
+			var seen engine.Totals
+			if err := member.Inspect(s.ctx, "totals", &seen); err != nil {
+				return false, err
+			}
+			if seen.Executions > 0 {
+				name = s.whole.Companions[i].Name
+			}
+		}
+		return name != "", nil
+	})
+	return name, err
+}
+
+// process: "process kill|freeze|wake NAME"; the name "serving" stands for the
+// companion whose engine has begun to run a request.
 func (s *script) process(_ *testing.T, d *datadriven.TestData) (string, error) {
 	name := d.CmdArgs[1].Key
+	if name == "serving" {
+		var err error
+		if name, err = s.serving(); err != nil {
+			return "", err
+		}
+	}
 	for _, member := range s.whole.Members() {
 		if member.Name != name {
 			continue
