--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -9,10 +9,12 @@
 
 	"filbertusher/internal/companion"
 	"filbertusher/internal/endpoint"
+	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
 	"filbertusher/internal/link"
 	"filbertusher/internal/record"
 	"filbertusher/internal/waiting"
+	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
 
@@ -26,6 +28,10 @@
 	running         int
 	waiting         int
 	retention       time.Duration
+	keyRetention    time.Duration
+	journalWrites   int
+	ticketLife      time.Duration
+	maxKeys         int
 }
 
 func newCompanionCommand() *Command {
@@ -39,6 +45,10 @@
 	command.Settings.Int(&p.running, "max-running", 32, 1, 4096, "how many requests may be in the endpoint at once")
 	command.Settings.Int(&p.waiting, "max-waiting", 10000, 0, 1000000, "how many requests may wait for the endpoint")
 	command.Settings.Duration(&p.retention, "retention", 10*time.Minute, time.Second, 24*time.Hour, "how long ended requests are remembered")
+	command.Settings.Duration(&p.keyRetention, "key-retention", 24*time.Hour, time.Minute, 30*24*time.Hour, "how long idempotency keys are remembered where the service declares no time")
+	command.Settings.Int(&p.journalWrites, "journal-writes", 20, 1, 1000, "how many writes a second may go to the journals of this companion")
+	command.Settings.Duration(&p.ticketLife, "ticket-life", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket can be used")
+	command.Settings.Int(&p.maxKeys, "max-keys", 20000, 1, 1000000, "how many keys one slot, and all tickets together, may remember")
 	command.Run = p.run
 	return command
 }
@@ -51,6 +61,25 @@
 	return endpoint.NewModel(p.endpointAddress, client)
 }
 
+// outcomeDelay is how long an outcome may wait for another write to share.
+const outcomeDelay = time.Second
+
+// book returns the journals of the slots that this companion will hold.
+func (p *companionProcess) book(name usher.EndpointName) *journal.Book {
+	address := func(endpoint usher.EndpointName) (string, bool) {
+		declared, ok := p.config.Current().Endpoints[endpoint]
+		if !ok {
+			return "", false
+		}
+		return declared.Companion, true
+	}
+	prober := companion.NewProber(address, wire.Caller{Incarnation: p.incarnation})
+	return journal.NewBook(journal.Options{
+		Holder:    journal.Holder{Endpoint: name, Incarnation: p.incarnation},
+		Retention: p.keyRetention, WritesPerSecond: float64(p.journalWrites), OutcomeDelay: outcomeDelay, MaxKeys: p.maxKeys,
+	}, p.store, prober)
+}
+
 func (p *companionProcess) run(signalled context.Context, _, errOut io.Writer) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -63,7 +92,12 @@
 		return err
 	}
 	name := usher.EndpointName(p.endpointName)
-	beside := companion.New(companion.Options{Endpoint: name, Incarnation: p.incarnation, Fence: 1}, companion.Dependencies{
+	fence := companion.NewFence(p.store, name, p.incarnation, p.log)
+	beside := companion.New(companion.Options{
+		Endpoint: name, Incarnation: p.incarnation,
+		TicketLife: p.ticketLife, TicketRetention: p.retention, MaxTickets: p.maxKeys,
+	}, companion.Dependencies{
+		Journal: p.book(name), Fence: fence.Current,
 		Config: p.config, Backend: p.backend(),
 		Admission: waiting.New(name, waiting.Options{Running: p.running, Waiting: p.waiting}),
 		Ledger:    ledger.New(p.retention), Recorder: record.NewMemory(recordLimit), Log: p.log,
@@ -74,6 +108,7 @@
 		return err
 	}
 	p.group.Go(func() error { return server.Serve(ctx) })
+	p.group.Go(func() error { return fence.Run(ctx) })
 	p.log.Info().Str("listen", listener.Addr().String()).Msg("listening")
 	go p.ready(ctx)
 	go func() {
--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -11,8 +11,10 @@
 	"github.com/rs/zerolog"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
 	"filbertusher/internal/telemetry"
+	"filbertusher/internal/ticket"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -21,7 +23,12 @@
 type Options struct {
 	Endpoint    usher.EndpointName
 	Incarnation usher.Incarnation
-	Fence       usher.Fence
+	// TicketLife is how long a ticket can be used, and TicketRetention how
+	// much longer its outcome is remembered.
+	TicketLife      time.Duration
+	TicketRetention time.Duration
+	// MaxTickets bounds the used tickets that are remembered.
+	MaxTickets int
 }
 
 // Dependencies are what a companion works with.
@@ -30,8 +37,11 @@
 	Backend   usher.Backend
 	Admission usher.Admission
 	Ledger    *ledger.Ledger
-	Recorder  usher.Recorder
-	Log       zerolog.Logger
+	Journal   *journal.Book
+	// Fence returns the fencing number of this incarnation, 0 when it has none.
+	Fence    func() usher.Fence
+	Recorder usher.Recorder
+	Log      zerolog.Logger
 }
 
 // Companion is the state of the process. Its exported methods are in rpc.go.
@@ -41,6 +51,8 @@
 	outlets *outlets
 	metrics metrics
 	drain   drain
+	issuer  *ticket.Issuer
+	tickets *journal.Slot
 }
 
 type metrics struct {
@@ -58,6 +70,8 @@
 		Dependencies: dependencies,
 		options:      options,
 		outlets:      newOutlets(),
+		issuer:       ticket.NewIssuer(ticket.Named{Endpoint: options.Endpoint, Incarnation: options.Incarnation}),
+		tickets:      journal.NewLocal(options.TicketLife+options.TicketRetention, options.MaxTickets),
 		metrics: metrics{
 			submitted:  group.Counter("submitted").Add,
 			dispatched: group.Counter("dispatched").Add,
@@ -85,6 +99,9 @@
 	c.metrics.submitted(1)
 	header := args.Header
 	header.Deadline = time.Now().Add(args.Remaining)
+	if header.Key != "" && !header.Idempotent {
+		return c.submitKeyed(args, header)
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), header.Deadline)
 	entry, fresh := c.Ledger.Open(header, cancel)
 	if !fresh {
--- a/internal/companion/drain.go
+++ b/internal/companion/drain.go
@@ -59,8 +59,14 @@
 
 // Drain refuses new work and waits until the work in flight has ended.
 func (c *Companion) Drain(ctx context.Context) error {
+	idle := c.drain.start()
+	// Slots are handed over first: their requests are short, and callers with
+	// new keys wait for a holder.
+	if err := c.Journal.Release(ctx); err != nil {
+		c.Log.Warn().Err(err).Msg("slotsNotReleased")
+	}
 	select {
-	case <-c.drain.start():
+	case <-idle:
 		return c.outlets.flushed(ctx)
 	case <-ctx.Done():
 		return context.Cause(ctx)
@@ -76,5 +82,7 @@
 		"load":          c.Admission.Report(),
 		"requests":      c.Ledger.Counts(),
 		"leaving":       c.drain.started(),
+		"journal":       c.Journal.State(),
+		"fence":         c.Fence(),
 	}
 }
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -41,3 +41,15 @@
 	reply.Status = r.companion.status()
 	return nil
 }
+
+// Ticket issues a ticket.
+func (r *RPC) Ticket(args *wire.TicketArgs, reply *wire.TicketReply) error {
+	*reply = r.companion.ticket(args)
+	return nil
+}
+
+// Ping says which incarnation runs here.
+func (r *RPC) Ping(_ *wire.PingArgs, reply *wire.PingReply) error {
+	reply.Status = r.companion.status()
+	return nil
+}
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -9,6 +9,7 @@
 	"io"
 	"time"
 
+	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
@@ -29,6 +30,16 @@
 	args      *wire.SubmitArgs
 	entry     *ledger.Entry
 	cancel    context.CancelFunc
+	// key is the entry of the request's key; nil for requests that may repeat.
+	key *journal.Entry
+}
+
+// end keeps what came of the request under its id and under its key.
+func (w *work) end(answer *usher.Answer, refusal *usher.Refusal) {
+	w.entry.Finish(answer, refusal)
+	if w.key != nil {
+		w.key.Finish(answer, refusal)
+	}
 }
 
 // admit returns a slot, or a refusal, or neither when there is no room and the
@@ -51,6 +62,9 @@
 	c := w.companion
 	if !w.entry.Dispatch() {
 		w.finished(slot)
+		if w.key != nil {
+			w.key.Finish(nil, usher.NewAttemptRefusal(usher.RefusalCancelled, "the request was withdrawn"))
+		}
 		return c.outcome(w.entry)
 	}
 	c.metrics.dispatched(1)
@@ -59,15 +73,15 @@
 	}
 	defer w.finished(slot)
 	started := time.Now()
-	answer, err := c.Backend.Call(ctx, w.args.Header.ID, c.options.Fence, &w.args.Call)
+	answer, err := c.Backend.Call(ctx, w.args.Header.ID, c.Fence(), &w.args.Call)
 	if err != nil {
 		w.cancelInEndpoint(ctx)
 		refusal := w.failure(ctx, err)
-		w.entry.Finish(nil, refusal)
+		w.end(nil, refusal)
 		return c.refused(refusal)
 	}
 	observe(slot, time.Since(started), answer.Usage)
-	w.entry.Finish(answer, nil)
+	w.end(answer, nil)
 	return wire.SubmitReply{Status: c.status(), State: wire.StateAnswered, Answer: answer}
 }
 
@@ -112,17 +126,17 @@
 func (w *work) stream(ctx context.Context, slot usher.Slot) wire.SubmitReply {
 	c := w.companion
 	started := time.Now()
-	stream, answer, err := c.Backend.Stream(ctx, w.args.Header.ID, c.options.Fence, &w.args.Call)
+	stream, answer, err := c.Backend.Stream(ctx, w.args.Header.ID, c.Fence(), &w.args.Call)
 	if err != nil {
 		defer w.finished(slot)
 		w.cancelInEndpoint(ctx)
 		refusal := w.failure(ctx, err)
-		w.entry.Finish(nil, refusal)
+		w.end(nil, refusal)
 		return c.refused(refusal)
 	}
 	if stream == nil {
 		defer w.finished(slot)
-		w.entry.Finish(answer, nil)
+		w.end(answer, nil)
 		return wire.SubmitReply{Status: c.status(), State: wire.StateAnswered, Answer: answer}
 	}
 	w.entry.BeginStream()
@@ -170,11 +184,14 @@
 	if err != nil {
 		w.cancelInEndpoint(ctx)
 		refusal := w.failure(ctx, err)
-		w.entry.Finish(nil, refusal)
+		w.end(nil, refusal)
 		reader.outlet.add(wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal})
 		return
 	}
 	w.entry.Finish(&usher.Answer{}, nil)
+	if w.key != nil {
+		w.key.Finish(nil, streamGone())
+	}
 	reader.outlet.add(wire.Event{
 		Stream: reader.number, Offset: reader.next, End: wire.EndWhole,
 		Digest: usher.Digest(hex.EncodeToString(reader.digest.Sum(nil))),
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -34,6 +34,8 @@
 	started    time.Time
 	candidates []usher.Candidate
 	endpoint   usher.EndpointName
+	// keyed is set once refusals speak of the key and not of this attempt.
+	keyed bool
 }
 
 // accept makes a request of what the caller sent, except for the body, or
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -30,7 +30,7 @@
 	w.Header().Set(headerRequestID, string(accepted.ID))
 	decision := accepted.decision()
 	if refusal != nil {
-		refusal = refusal.WithRequestID(accepted.ID)
+		refusal = accepted.honest(refusal).WithRequestID(accepted.ID)
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
 		writeRefusal(w, refusal)
 	} else {
@@ -42,6 +42,15 @@
 	e.finish(decision)
 }
 
+// honest keeps a refusal that was made without asking for the key from
+// promising that the key did not run: it may have run before.
+func (r *request) honest(refusal *usher.Refusal) *usher.Refusal {
+	if r.Key == "" || r.Idempotent || r.keyed {
+		return refusal
+	}
+	return refusal.ForAttempt()
+}
+
 // finish counts, records and logs a decision.
 func (e *Entry) finish(decision usher.Decision) {
 	switch {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,7 @@
 	options Options
 	peers   *peers
 	ids     idSource
+	views   *views
 	metrics metrics
 }
 
@@ -59,6 +60,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		ids:          newIDSource(),
+		views:        newViews(),
 		metrics: metrics{
 			requests: group.Counter("requests").Add,
 			answered: group.Counter("answered").Add,
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -2,37 +2,273 @@
 
 import (
 	"context"
+	"errors"
+	"sort"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"filbertusher/internal/journal"
+	"filbertusher/internal/link"
+	"filbertusher/internal/ticket"
+	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
 
-// dispatchKeyed offers a request that may run only once to the one endpoint
-// that its key belongs to.
+// A request that may run only once goes to the companion that holds the slot of
+// its key. The entry may send it again and elsewhere as often as it likes: the
+// holder knows the key, and a companion that is not the holder does not run it.
+
+const (
+	// keyedReplyGrace is how long the companion's own refusal at the deadline
+	// is waited for, because it knows more than the entry does.
+	keyedReplyGrace = time.Second
+	// keyedSilence is how long a holder may be silent before another companion
+	// is asked, which finds out whether the holder is gone.
+	keyedSilence = 2 * time.Second
+	// keyedPause is the pause after all candidates were tried.
+	keyedPause = 50 * time.Millisecond
+	// ticketPatience is how long the companion of a ticket is tried to reach.
+	ticketPatience = 2 * time.Second
+)
+
+// views remembers what is known of each slot. It holds as many views as there
+// are slots, so it needs no bound of its own.
+type views struct {
+	mu     sync.RWMutex
+	bySlot map[slotName]wire.SlotView
+}
+
+type slotName struct {
+	service usher.ServiceName
+	number  journal.SlotNumber
+}
+
+func newViews() *views { return &views{bySlot: make(map[slotName]wire.SlotView)} }
+
+func (v *views) get(slot slotName) wire.SlotView {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.bySlot[slot]
+}
+
+// learn takes a newer view in. Replies can overtake each other, so an older
+// one is passed over.
+func (v *views) learn(slot slotName, view wire.SlotView) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.bySlot[slot]
+	if view.Fence < known.Fence || view.Fence == known.Fence && view.Epoch < known.Epoch {
+		return
+	}
+	v.bySlot[slot] = view
+}
+
+// keyedRoute is the search for the holder of one request's slot.
+type keyedRoute struct {
+	entry    *Entry
+	accepted *request
+	slot     slotName
+	order    []usher.EndpointName
+	next     int
+	hint     usher.EndpointName
+	// lost is set when a message was sent whose fate is unsure.
+	lost bool
+}
+
+// dispatchKeyed offers a request that may run only once until its outcome is
+// known or its deadline has passed. It goes on when the caller has gone, for
+// the caller can ask for the outcome by sending the key again.
 func (e *Entry) dispatchKeyed(ctx context.Context, accepted *request) result {
-	endpoint, ok := keyedEndpoint(accepted)
-	if !ok {
-		return refused(usher.NewRefusal(usher.RefusalNoEndpoint, "no endpoint serves the request").WithRetryAfter(time.Second))
+	accepted.keyed = true
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), accepted.Deadline)
+	defer cancel()
+	if ticket.Is(accepted.Key) {
+		return e.dispatchTicket(ctx, accepted)
 	}
-	got, final := e.offer(ctx, accepted, endpoint, true)
-	if !final && got.refusal == nil {
-		return refused(usher.NewRefusal(usher.RefusalNoEndpoint, "the endpoint of the key can't be reached").WithRetryAfter(time.Second))
+	route := e.newKeyedRoute(accepted)
+	for ctx.Err() == nil {
+		endpoint, ok := route.choose()
+		if !ok {
+			sleep(ctx, keyedPause)
+			continue
+		}
+		if got, final := route.try(ctx, endpoint); final {
+			return got
+		}
 	}
-	return got
+	return refused(route.unsettled("the holder of the key can't be reached"))
 }
 
-// keyedEndpoint ranks the endpoints of the service by a hash of the key and
-// their name, so that a change of the endpoints moves few keys.
-func keyedEndpoint(accepted *request) (usher.EndpointName, bool) {
-	var best usher.EndpointName
-	var highest uint64
-	for _, endpoint := range accepted.snapshot.ByService[accepted.Service] {
-		score := xxhash.Sum64String(string(accepted.Workspace) + "\x00" + string(accepted.Key) + "\x00" + string(endpoint.Name))
-		if best == "" || score > highest {
-			best, highest = endpoint.Name, score
+func (e *Entry) newKeyedRoute(accepted *request) *keyedRoute {
+	number := journal.HashKey(accepted.Workspace, accepted.Key).Slot()
+	route := &keyedRoute{entry: e, accepted: accepted, slot: slotName{service: accepted.Service, number: number}}
+	route.rank()
+	route.hint = e.views.get(route.slot).Holder
+	return route
+}
+
+// rank orders the endpoints of the service by a hash of the slot and their
+// name, so that a change of the endpoints moves few slots. Leaving ones are
+// left out; they may still hold slots, which other companions know.
+func (r *keyedRoute) rank() {
+	r.order, r.next = r.order[:0], 0
+	scores := make(map[usher.EndpointName]uint64)
+	for _, endpoint := range r.entry.Config.Current().ByService[r.slot.service] {
+		if endpoint.Leaving {
+			continue
 		}
+		scores[endpoint.Name] = xxhash.Sum64String(string(endpoint.Name) + "\x00" + string(r.slot.service) + "\x00" + string(rune('a'+r.slot.number)))
+		r.order = append(r.order, endpoint.Name)
+	}
+	sort.Slice(r.order, func(i, j int) bool { return scores[r.order[i]] > scores[r.order[j]] })
+}
+
+// choose returns the endpoint to try next: the one that is said to hold the
+// slot, then all others in order. false ends a round.
+func (r *keyedRoute) choose() (usher.EndpointName, bool) {
+	if r.hint != "" {
+		hint := r.hint
+		r.hint = ""
+		return hint, true
+	}
+	if r.next >= len(r.order) {
+		r.rank()
+		return "", false
+	}
+	r.next++
+	return r.order[r.next-1], true
+}
+
+// try sends the request to one endpoint. final is false when it has to be sent
+// again, here or elsewhere.
+func (r *keyedRoute) try(ctx context.Context, endpoint usher.EndpointName) (result, bool) {
+	peer := r.entry.peers.of(endpoint)
+	if peer == nil {
+		return result{}, false
+	}
+	reply, stream, err := r.entry.submitKeyed(ctx, r.accepted, peer, r.entry.views.get(r.slot))
+	var unreachable *link.UnreachableError
+	switch {
+	case errors.As(err, &unreachable):
+		return result{}, false
+	case err != nil:
+		r.lost = true
+		return result{}, false
+	case reply.State == wire.StateElsewhere:
+		r.redirect(endpoint, reply.Slot)
+		return result{}, false
+	}
+	if reply.Slot.Fence > 0 {
+		r.entry.views.learn(r.slot, reply.Slot)
+	}
+	got, _ := r.entry.judge(reply, stream)
+	return got, true
+}
+
+// redirect follows a companion that does not hold the slot, or that holds it
+// but wants the request sent with a newer view.
+func (r *keyedRoute) redirect(asked usher.EndpointName, view wire.SlotView) {
+	if view.Fence > 0 {
+		r.entry.views.learn(r.slot, view)
+	}
+	if view.Holder != asked || view.Fence > 0 {
+		r.hint = view.Holder
+	}
+}
+
+// unsettled is the refusal of a request that no companion took in time.
+func (r *keyedRoute) unsettled(message string) *usher.Refusal {
+	if r.lost {
+		return usher.NewUnknown(usher.RefusalDeadline, message)
+	}
+	return usher.NewAttemptRefusal(usher.RefusalDeadline, message)
+}
+
+// submitKeyed sends a request that may run only once to one companion. A
+// companion that stays silent is asked whether it runs at all; the message may
+// be sent again elsewhere then.
+func (e *Entry) submitKeyed(ctx context.Context, accepted *request, peer *peer, view wire.SlotView) (*wire.SubmitReply, *incoming, error) {
+	accepted.Attempt++
+	accepted.endpoint = peer.endpoint
+	limit, cancel := context.WithDeadline(context.WithoutCancel(ctx), accepted.Deadline.Add(keyedReplyGrace))
+	defer cancel()
+	stream := peer.open(accepted)
+	args := &wire.SubmitArgs{
+		Caller: e.caller(), Header: accepted.RequestHeader, Remaining: time.Until(accepted.Deadline),
+		Call: accepted.call, MayWait: true, Stream: stream.number, Slot: view,
+	}
+	reply := &wire.SubmitReply{}
+	watched, stop := e.watchSilence(limit, peer)
+	err := peer.link.Call(watched, wire.MethodSubmit, args, reply)
+	stop()
+	if err != nil || reply.State != wire.StateStreaming {
+		stream.close()
+	}
+	if err == nil {
+		e.Placer.Observe(reply.Load)
+	}
+	return reply, stream, err
+}
+
+// watchSilence ends the returned context when the companion does not reply to
+// a ping any more. Until then a slow answer is waited for.
+func (e *Entry) watchSilence(ctx context.Context, peer *peer) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for {
+			sleep(ctx, keyedSilence)
+			if ctx.Err() != nil {
+				return
+			}
+			limit, done := context.WithTimeout(ctx, keyedSilence)
+			err := peer.link.Call(limit, wire.MethodPing, &wire.PingArgs{Caller: e.caller()}, &wire.PingReply{})
+			done()
+			if err != nil && ctx.Err() == nil {
+				peer.link.Reset()
+				cancel()
+				return
+			}
+		}
+	}()
+	return ctx, cancel
+}
+
+// dispatchTicket offers a request to the one companion that its ticket names.
+func (e *Entry) dispatchTicket(ctx context.Context, accepted *request) result {
+	named, ok := ticket.Read(accepted.Key)
+	if !ok {
+		return refused(usher.NewRefusal(usher.RefusalTicketInvalid, "the key is no ticket that was issued"))
+	}
+	if _, declared := e.Config.Current().Endpoints[named.Endpoint]; !declared {
+		return refused(usher.NewAttemptRefusal(usher.RefusalTicketExpired, "the endpoint of the ticket is not declared"))
+	}
+	patience := time.Now().Add(ticketPatience)
+	lost := false
+	var view wire.SlotView
+	for ctx.Err() == nil && time.Now().Before(patience) {
+		peer := e.peers.of(named.Endpoint)
+		if peer == nil {
+			sleep(ctx, keyedPause)
+			continue
+		}
+		reply, stream, err := e.submitKeyed(ctx, accepted, peer, view)
+		var unreachable *link.UnreachableError
+		switch {
+		case err == nil && reply.State == wire.StateElsewhere:
+			view = reply.Slot
+			continue
+		case err == nil:
+			got, _ := e.judge(reply, stream)
+			return got
+		case !errors.As(err, &unreachable):
+			lost = true
+		}
+		sleep(ctx, keyedPause)
+	}
+	if lost {
+		return refused(usher.NewUnknown(usher.RefusalEndpointFailed, "the companion of the ticket can't be reached"))
 	}
-	return best, best != ""
+	return refused(usher.NewAttemptRefusal(usher.RefusalEndpointFailed, "the companion of the ticket can't be reached"))
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,6 +21,7 @@
 	pathChat     = "/v1/chat/completions"
 	pathModels   = "/v1/models"
 	pathServices = "/v1/services/"
+	pathTickets  = "/v1/tickets"
 )
 
 // Handler returns the HTTP handler of the callers' side.
@@ -28,6 +29,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(pathChat, e.chat)
 	mux.HandleFunc("GET "+pathModels, e.listModels)
+	mux.HandleFunc("POST "+pathTickets, e.issueTicket)
 	mux.HandleFunc(pathServices+"{service}/{path...}", e.plain)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		e.refuse(w, usher.NewRefusal(usher.RefusalUnknownService, "nothing is served at "+r.URL.Path))
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -118,9 +118,9 @@
 	case StateWaiting:
 		e.refusal = usher.NewRefusal(usher.RefusalCancelled, "the request was withdrawn")
 		e.end(StateWithdrawn)
-		return usher.OutcomeNotRun, true
+		return e.withdrawn(), true
 	case StateWithdrawn:
-		return usher.OutcomeNotRun, false
+		return e.withdrawn(), false
 	case StateDispatched:
 		return usher.OutcomeUnknown, cancel
 	}
@@ -130,6 +130,15 @@
 	return usher.OutcomeRan, false
 }
 
+// withdrawn is what a withdrawal promises. The id will not run, but a key that
+// may run only once can have run under another id.
+func (e *Entry) withdrawn() usher.Outcome {
+	if e.Header.Key != "" && !e.Header.Idempotent {
+		return usher.OutcomeUnknown
+	}
+	return usher.OutcomeNotRun
+}
+
 // Dispatch marks the request as dispatched, just before it is sent to the
 // endpoint. It returns false when the request was withdrawn.
 func (e *Entry) Dispatch() bool {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -20,6 +20,8 @@
 	MethodReserve  = "Companion.Reserve"
 	MethodWithdraw = "Companion.Withdraw"
 	MethodCollect  = "Companion.Collect"
+	MethodTicket   = "Companion.Ticket"
+	MethodPing     = "Companion.Ping"
 	MethodSnapshot = "Peer.Snapshot"
 )
 
@@ -53,6 +55,15 @@
 	// Stream is the number under which the events of a streamed answer are
 	// delivered to the calling incarnation by Collect.
 	Stream uint64
+	// Slot is what the entry knows of the slot of a key that may run only once.
+	Slot SlotView
+}
+
+// SlotView is where a slot is held and how far its holder had come.
+type SlotView struct {
+	Holder usher.EndpointName
+	Fence  usher.Fence
+	Epoch  uint64
 }
 
 // SubmitState says what became of an offered request.
@@ -67,6 +78,9 @@
 	StateStreaming
 	// StateRefused means that Refusal says why there is no answer.
 	StateRefused
+	// StateElsewhere means that nothing was kept: the request has to be sent
+	// to the holder in Slot, which may be the same companion, with that view.
+	StateElsewhere
 )
 
 // SubmitReply answers SubmitArgs and FetchArgs.
@@ -75,6 +89,8 @@
 	State   SubmitState
 	Answer  *usher.Answer
 	Refusal *usher.Refusal
+	// Slot is the newest view of the slot, for requests that have one.
+	Slot SlotView
 }
 
 // FetchArgs asks for the outcome of a request that was submitted before, for
@@ -166,3 +182,24 @@
 	Status
 	Objects []usher.Object
 }
+
+// TicketArgs asks for a ticket.
+type TicketArgs struct {
+	Caller
+	Workspace usher.WorkspaceName
+	Service   usher.ServiceName
+}
+
+// TicketReply carries a ticket or says why there is none.
+type TicketReply struct {
+	Status
+	Ticket  usher.IdempotencyKey
+	Expires time.Duration
+	Refusal *usher.Refusal
+}
+
+// PingArgs asks a companion whether it still runs.
+type PingArgs struct{ Caller }
+
+// PingReply answers PingArgs; all is in the status.
+type PingReply struct{ Status }
--- a/pkg/usher/errors.go
+++ b/pkg/usher/errors.go
@@ -35,6 +35,9 @@
 	RefusalKeyRequired      RefusalKind = "idempotencyKeyRequired"
 	RefusalKeyConflict      RefusalKind = "idempotencyKeyConflict"
 	RefusalKeyInProgress    RefusalKind = "idempotencyKeyInProgress"
+	RefusalTicketInvalid    RefusalKind = "ticketInvalid"
+	RefusalTicketExpired    RefusalKind = "ticketExpired"
+	RefusalAnswerGone       RefusalKind = "answerNoLongerKept"
 	RefusalOverloaded       RefusalKind = "overloaded"
 	RefusalLimited          RefusalKind = "limitExceeded"
 	RefusalDeadline         RefusalKind = "deadlineExceeded"
@@ -64,6 +67,9 @@
 	RefusalKeyRequired:      http.StatusBadRequest,
 	RefusalKeyConflict:      http.StatusUnprocessableEntity,
 	RefusalKeyInProgress:    http.StatusConflict,
+	RefusalTicketInvalid:    http.StatusBadRequest,
+	RefusalTicketExpired:    http.StatusGone,
+	RefusalAnswerGone:       http.StatusGone,
 	RefusalOverloaded:       http.StatusServiceUnavailable,
 	RefusalLimited:          http.StatusTooManyRequests,
 	RefusalDeadline:         http.StatusGatewayTimeout,
@@ -82,8 +88,15 @@
 type Refusal struct {
 	Kind    RefusalKind `json:"type"`
 	Message string      `json:"message"`
-	// Outcome tells whether the request ran.
+	// Outcome tells whether the request ran. For a request with a key it
+	// speaks of the key, whichever way and however often it was sent.
 	Outcome Outcome `json:"outcome"`
+	// Attempt is set where only this one attempt is known not to have run:
+	//
+	//	{"outcome": "unknown", "attempt": "not run"}
+	//
+	// A caller that never sent the key before may conclude that it did not run.
+	Attempt Outcome `json:"attempt,omitempty"`
 	// RequestID is empty for requests that were refused before they got one.
 	RequestID RequestID `json:"requestId,omitempty"`
 	// RetryAfter is how long the caller should wait before it tries again;
@@ -101,6 +114,27 @@
 	return &Refusal{Kind: kind, Message: message, Outcome: OutcomeUnknown}
 }
 
+// NewAttemptRefusal returns a refusal of an attempt that certainly did not run,
+// where earlier attempts with the same key are not known.
+func NewAttemptRefusal(kind RefusalKind, message string) *Refusal {
+	return &Refusal{Kind: kind, Message: message, Outcome: OutcomeUnknown, Attempt: OutcomeNotRun}
+}
+
+// NotDispatched says whether this attempt certainly did not run.
+func (r *Refusal) NotDispatched() bool {
+	return r.Outcome == OutcomeNotRun || r.Attempt == OutcomeNotRun
+}
+
+// ForAttempt returns a copy that speaks of this attempt only.
+func (r *Refusal) ForAttempt() *Refusal {
+	if r.Outcome != OutcomeNotRun {
+		return r
+	}
+	changed := *r
+	changed.Outcome, changed.Attempt = OutcomeUnknown, OutcomeNotRun
+	return &changed
+}
+
 // Error implements error.
 func (r *Refusal) Error() string {
 	return string(r.Kind) + ": " + r.Message + " (" + string(r.Outcome) + ")"
