--- a/internal/journal/book.go
+++ b/internal/journal/book.go
@@ -28,6 +28,8 @@
 	OutcomeDelay time.Duration
 	// MaxKeys bounds the keys that one slot remembers.
 	MaxKeys int
+	// MaxHead bounds the records in a slot's object, in bytes; 0 is a default.
+	MaxHead int
 }
 
 // Prober finds out whether the holder of a slot still serves it. A wrong
@@ -66,6 +68,9 @@
 
 // NewBook returns a book without slots.
 func NewBook(options Options, store usher.Store, prober Prober) *Book {
+	if options.MaxHead == 0 {
+		options.MaxHead = defaultMaxHead
+	}
 	burst := max(1, int(options.WritesPerSecond/4))
 	return &Book{
 		options: options, store: store, prober: prober,
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -10,9 +10,9 @@
 	"filbertusher/pkg/usher"
 )
 
-// maxHead is how large the records in the head may grow before they move to a
-// segment, in bytes. Every write sends the head, so it stays small.
-const maxHead = 8 << 10
+// defaultMaxHead is how large the records in the head may grow before they
+// move to a segment, in bytes. Every write sends the head, so it stays small.
+const defaultMaxHead = 8 << 10
 
 // settleAttempts bounds how often one write is tried or read back in a row.
 const settleAttempts = 3
@@ -42,6 +42,9 @@
 	expected usher.Version
 	value    head
 	encoded  []byte
+	// expired are segments that value does not name any more. They can go only
+	// once the write took effect, because a successor reads what the head names.
+	expired []segmentRef
 }
 
 // apply queues a change and waits for its write. Whoever gets the right to
@@ -183,12 +186,13 @@
 // large move to a segment first.
 func (s *Slot) compose(ctx context.Context, changes []*change) (*batch, error) {
 	next := &batch{changes: changes, expected: s.version, value: s.value}
-	if size(s.value.Records) > maxHead {
+	if size(s.value.Records) > s.book.options.MaxHead {
 		ref, err := s.roll(ctx)
 		if err != nil {
 			return nil, err
 		}
-		next.value.Segments = append(s.liveSegments(ctx), ref)
+		next.value.Segments, next.expired = s.splitSegments()
+		next.value.Segments = append(next.value.Segments, ref)
 		next.value.Records = nil
 	}
 	records := append([]Record(nil), next.value.Records...)
@@ -258,17 +262,16 @@
 	return ref, nil
 }
 
-// liveSegments drops the segments whose keys are out of the retention.
-func (s *Slot) liveSegments(ctx context.Context) []segmentRef {
-	var live []segmentRef
+// splitSegments tells the segments apart whose keys are still remembered.
+func (s *Slot) splitSegments() (live, expired []segmentRef) {
 	for _, ref := range s.value.Segments {
 		if time.Since(ref.Newest) <= s.retention {
 			live = append(live, ref)
 			continue
 		}
-		s.discard(ctx, ref)
+		expired = append(expired, ref)
 	}
-	return live
+	return live, expired
 }
 
 // discard deletes a segment. One that can't be deleted stays without harm.
@@ -289,7 +292,7 @@
 		s.book.counts.writes.Add(1)
 		version, err := s.book.store.Put(ctx, key, unsure.expected, unsure.encoded)
 		if err == nil {
-			s.committed(version)
+			s.committed(ctx, version)
 			return nil
 		}
 		last = err
@@ -302,7 +305,7 @@
 			break
 		}
 		if current.Stamp == unsure.value.Stamp {
-			s.committed(version)
+			s.committed(ctx, version)
 			return nil
 		}
 		if version != unsure.expected {
@@ -317,10 +320,13 @@
 	return &UnsettledError{Cause: last}
 }
 
-func (s *Slot) committed(version usher.Version) {
+func (s *Slot) committed(ctx context.Context, version usher.Version) {
 	s.mu.Lock()
 	done := s.limbo
 	s.version, s.value, s.limbo = version, done.value, nil
 	s.mu.Unlock()
 	endAll(done.changes, nil)
+	for _, ref := range done.expired {
+		s.discard(ctx, ref)
+	}
 }
