--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -50,9 +51,11 @@
 	options Options
 	outlets *outlets
 	metrics metrics
-	drain   drain
+	drain   *drain
 	issuer  *ticket.Issuer
 	tickets *journal.Slot
+	// stopping is set by a planned stop, which can't be called off.
+	stopping atomic.Bool
 }
 
 type metrics struct {
@@ -72,6 +75,7 @@
 		outlets:      newOutlets(),
 		issuer:       ticket.NewIssuer(ticket.Named{Endpoint: options.Endpoint, Incarnation: options.Incarnation}),
 		tickets:      journal.NewLocal(options.TicketLife+options.TicketRetention, options.MaxTickets),
+		drain:        newDrain(),
 		metrics: metrics{
 			submitted:  group.Counter("submitted").Add,
 			dispatched: group.Counter("dispatched").Add,
@@ -102,7 +106,7 @@
 	if header.Key != "" && !header.Idempotent {
 		return c.submitKeyed(args, header)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), header.Deadline)
+	ctx, cancel := context.WithDeadline(c.outlets.context(args), header.Deadline)
 	entry, fresh := c.Ledger.Open(header, cancel)
 	if !fresh {
 		cancel()
--- a/internal/companion/keyed.go
+++ b/internal/companion/keyed.go
@@ -182,10 +182,10 @@
 	if !c.drain.begin() {
 		return w.leave()
 	}
-	room, err := c.Admission.Admit(ctx, &w.entry.Header)
-	if err != nil {
+	room, refusal := w.admit(ctx)
+	if room == nil {
 		c.drain.end()
-		return w.refuse(w.confirmed(asRefusal(err, usher.OutcomeNotRun)))
+		return w.notAdmitted(refusal)
 	}
 	if err := w.key.Commit(ctx); err != nil {
 		room.Release()
@@ -203,6 +203,14 @@
 	return w.send(room)
 }
 
+// notAdmitted ends a request that did not get into the endpoint.
+func (w *keyedWork) notAdmitted(refusal *usher.Refusal) wire.SubmitReply {
+	if refusal.Kind == usher.RefusalLeaving {
+		return w.leave()
+	}
+	return w.refuse(w.confirmed(refusal))
+}
+
 // leave sends a request on to the successor. A ticket has none.
 func (w *keyedWork) leave() wire.SubmitReply {
 	leaving := usher.NewRefusal(usher.RefusalLeaving, "the endpoint is leaving")
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -36,6 +36,8 @@
 	endpoint   usher.EndpointName
 	// keyed is set once refusals speak of the key and not of this attempt.
 	keyed bool
+	// unsure holds the refusals of the attempts whose outcome is unknown.
+	unsure []*usher.Refusal
 }
 
 // accept makes a request of what the caller sent, except for the body, or
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -24,9 +24,6 @@
 	// keyedReplyGrace is how long the companion's own refusal at the deadline
 	// is waited for, because it knows more than the entry does.
 	keyedReplyGrace = time.Second
-	// keyedSilence is how long a holder may be silent before another companion
-	// is asked, which finds out whether the holder is gone.
-	keyedSilence = 2 * time.Second
 	// keyedPause is the pause after all candidates were tried.
 	keyedPause = 50 * time.Millisecond
 	// ticketPatience is how long the companion of a ticket is tried to reach.
@@ -186,9 +183,9 @@
 	return usher.NewAttemptRefusal(usher.RefusalDeadline, message)
 }
 
-// submitKeyed sends a request that may run only once to one companion. A
-// companion that stays silent is asked whether it runs at all; the message may
-// be sent again elsewhere then.
+// submitKeyed sends a request that may run only once to one companion. The
+// collector of the peer ends the call when the companion has fallen silent; the
+// message may be sent again elsewhere then.
 func (e *Entry) submitKeyed(ctx context.Context, accepted *request, peer *peer, view wire.SlotView) (*wire.SubmitReply, *incoming, error) {
 	accepted.Attempt++
 	accepted.endpoint = peer.endpoint
@@ -200,41 +197,13 @@
 		Call: accepted.call, MayWait: true, Stream: stream.number, Slot: view,
 	}
 	reply := &wire.SubmitReply{}
-	watched, stop := e.watchSilence(limit, peer)
-	err := peer.link.Call(watched, wire.MethodSubmit, args, reply)
-	stop()
+	err := peer.submitWith(limit, false, stream, args, reply)
 	if err != nil || reply.State != wire.StateStreaming {
 		stream.close()
 	}
-	if err == nil {
-		e.Placer.Observe(reply.Load)
-	}
 	return reply, stream, err
 }
 
-// watchSilence ends the returned context when the companion does not reply to
-// a ping any more. Until then a slow answer is waited for.
-func (e *Entry) watchSilence(ctx context.Context, peer *peer) (context.Context, func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	go func() {
-		for {
-			sleep(ctx, keyedSilence)
-			if ctx.Err() != nil {
-				return
-			}
-			limit, done := context.WithTimeout(ctx, keyedSilence)
-			err := peer.link.Call(limit, wire.MethodPing, &wire.PingArgs{Caller: e.caller()}, &wire.PingReply{})
-			done()
-			if err != nil && ctx.Err() == nil {
-				peer.link.Reset()
-				cancel()
-				return
-			}
-		}
-	}()
-	return ctx, cancel
-}
-
 // dispatchTicket offers a request to the one companion that its ticket names.
 func (e *Entry) dispatchTicket(ctx context.Context, accepted *request) result {
 	named, ok := ticket.Read(accepted.Key)
--- a/internal/journal/book.go
+++ b/internal/journal/book.go
@@ -252,6 +252,13 @@
 	return failed
 }
 
+// Reopen lets slots be claimed again after a Release.
+func (b *Book) Reopen() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = false
+}
+
 // State is the book's part of the dump.
 func (b *Book) State() any {
 	b.mu.Lock()
--- a/internal/journal/slot.go
+++ b/internal/journal/slot.go
@@ -152,7 +152,7 @@
 		return existing, false, nil
 	case s.closing:
 		return nil, false, &MovedError{}
-	case seen.Fence != s.value.Fence || seen.Epoch < max(s.floor, s.refusedAt[key]):
+	case s.stale(key, seen):
 		return nil, false, &StaleError{View: s.view()}
 	}
 	if len(s.entries) >= s.book.options.MaxKeys {
@@ -167,6 +167,19 @@
 	return entry, true, nil
 }
 
+// firstFence is the fencing number of the first holder of a slot.
+const firstFence usher.Fence = 1
+
+// stale needs the lock. It says whether a message may have been sent before
+// its key was refused. The first holder knows all refusals of the slot; a later
+// one takes only messages that were sent to itself.
+func (s *Slot) stale(key KeyHash, seen View) bool {
+	if seen.Fence != s.value.Fence && s.value.Fence > firstFence {
+		return true
+	}
+	return seen.Epoch < max(s.floor, s.refusedAt[key])
+}
+
 // Has says whether the key is known.
 func (s *Slot) Has(key KeyHash) bool {
 	s.mu.Lock()
