--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -275,6 +275,9 @@
 		Change       config.ChangeID `json:"change"`
 		WatchesStore bool            `json:"watchesStore"`
 	} `json:"config"`
+	Companion struct {
+		Load usher.LoadReport `json:"load"`
+	} `json:"companion"`
 }
 
 func dump(ctx context.Context, member *fleet.Member) (state, error) {
