Let an entry work with a subset of the endpoints

Cause: an entry kept a connection and a waiting message at every companion, 770 at the target size. Ruled out: subsets by the rank of the entry, which need an agreed list of entries; random ones, which move with every change. Services of up to 8 endpoints are worked with as a whole, so nothing changes at the sizes of today.

--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -8,6 +8,7 @@
 
 	"filbertusher/internal/entry"
 	"filbertusher/internal/link"
+	"filbertusher/internal/member"
 	"filbertusher/internal/placement"
 	"filbertusher/internal/record"
 	"filbertusher/pkg/usher"
@@ -25,6 +26,8 @@
 	maxTimeout     time.Duration
 	bodyTimeout    time.Duration
 	readinessDelay time.Duration
+	subset         int
+	subsetOther    int
 }
 
 func newEntryCommand() *Command {
@@ -37,6 +40,8 @@
 	command.Settings.Duration(&p.maxTimeout, "max-timeout", 10*time.Minute, time.Second, 24*time.Hour, "the longest timeout a caller may ask for")
 	command.Settings.Duration(&p.bodyTimeout, "body-timeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute, "how long a caller may take to send a request")
 	command.Settings.Duration(&p.readinessDelay, "readiness-delay", time.Second, 0, time.Minute, "how long a planned stop waits for the balancer to notice")
+	command.Settings.Int(&p.subset, "endpoints", 8, 1, 10000, "how many endpoints of each service this process works with")
+	command.Settings.Int(&p.subsetOther, "endpoints-elsewhere", 2, 0, 10000, "how many of them are kept in other availability zones")
 	command.Run = p.run
 	return command
 }
@@ -56,6 +61,8 @@
 	if err != nil {
 		return err
 	}
+	subset := member.Subset{Self: p.incarnation, Zone: usher.AvailabilityZone(p.zone), Size: p.subset, Elsewhere: min(p.subset, p.subsetOther)}
+	p.config.Choose(subset.Choose)
 	peerAddress := peerListener.Addr().String()
 	if err := p.follow(ctx, link.NewServer(peerListener), peerAddress, ""); err != nil {
 		return err
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -23,6 +23,8 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	heard   chan Rumour
+	// choose picks the endpoints that the process works with.
+	choose func(*Snapshot) map[usher.ServiceName][]*usher.Endpoint
 }
 
 // Rumour is the news that a peer holds a newer version.
@@ -57,6 +59,14 @@
 	return h.changed
 }
 
+// Choose sets how the process picks the endpoints that it works with. It has to
+// be called before the first snapshot is taken in.
+func (h *Holder) Choose(choose func(*Snapshot) map[usher.ServiceName][]*usher.Endpoint) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.choose = choose
+}
+
 // Hear takes note of the version that a message of a peer carried. It costs
 // one comparison when the version is not newer.
 func (h *Holder) Hear(peer string, version usher.Version) {
@@ -83,6 +93,11 @@
 	if snapshot.Version <= current.Version || Diverged(&current.Head, &snapshot.Head) {
 		return false
 	}
+	if h.choose != nil {
+		chosen := *snapshot
+		chosen.Near = h.choose(snapshot)
+		snapshot = &chosen
+	}
 	h.current.Store(snapshot)
 	close(h.changed)
 	h.changed = make(chan struct{})
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -60,6 +60,9 @@
 	Endpoints  map[usher.EndpointName]*usher.Endpoint
 	// ByService lists the endpoints of each service, ordered by name.
 	ByService map[usher.ServiceName][]*usher.Endpoint
+	// Near lists the endpoints of each service that this process works with. It
+	// is ByService unless the holder was given a choice.
+	Near map[usher.ServiceName][]*usher.Endpoint
 	// InForce is the preset in force; nil when none was ever chosen.
 	InForce *usher.Preset
 
@@ -111,6 +114,7 @@
 		Presets:    make(map[usher.PresetName]*usher.Preset),
 		Endpoints:  make(map[usher.EndpointName]*usher.Endpoint),
 		ByService:  make(map[usher.ServiceName][]*usher.Endpoint),
+		Near:       make(map[usher.ServiceName][]*usher.Endpoint),
 		identities: make(map[usher.Digest]Identity),
 	}
 }
--- a/internal/config/update.go
+++ b/internal/config/update.go
@@ -176,6 +176,7 @@
 	for _, endpoint := range s.Endpoints {
 		s.ByService[endpoint.Service] = append(s.ByService[endpoint.Service], endpoint)
 	}
+	s.Near = s.ByService
 	for _, endpoints := range s.ByService {
 		sort.Slice(endpoints, func(i, j int) bool { return endpoints[i].Name < endpoints[j].Name })
 	}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -69,6 +69,8 @@
 	contact  atomic.Pointer[contact]
 	// pending counts the calls that wait for a reply.
 	pending atomic.Int64
+	// used is when the peer was last asked for, in nanoseconds since 1970.
+	used atomic.Int64
 
 	next atomic.Uint64
 	mu   sync.Mutex
@@ -89,6 +91,14 @@
 	p.link.Close()
 }
 
+// unused says whether nothing is under way and was not for some time.
+func (p *peer) unused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := len(p.streams) == 0 && len(p.withdrawn) == 0 && p.pending.Load() == 0
+	return idle && time.Since(time.Unix(0, p.used.Load())) > unusedTerm
+}
+
 func (p *peer) state() any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -41,7 +41,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	into = into[:0]
-	for _, endpoint := range p.config.Current().ByService[header.Service] {
+	for _, endpoint := range p.config.Current().Near[header.Service] {
 		known := p.view(endpoint.Name)
 		if endpoint.Leaving || known.report.Leaving {
 			continue
--- a/test/control/drain_test.go
+++ b/test/control/drain_test.go
@@ -33,7 +33,7 @@
 func (b *balancer) set(entries ...*fleet.Member) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entries = entries
+	b.entries = append([]*fleet.Member(nil), entries...)
 }
 
 // pick returns the next entry that is ready now.
