Add the soak: random faults over the whole path, judged by history

Cause: scripts only bring about the faults that were thought of. Change: standin soak and make soak; histories are checked with porcupine against a model in which a key has run or not.

--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,11 @@
 bench: build
 	./bin/standin bench -binary ./bin/filbertusher
 
+# soak sends over 100,000 orders through whole paths while over 500 faults hit,
+# and fails when any promise was broken.
+soak: build
+	./bin/standin soak -binary ./bin/filbertusher
+
 clean:
 	rm -rf bin out
 
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -65,6 +65,15 @@
 	return proxy.Listen, nil
 }
 
+// Address returns where a link is reached.
+func (p *Proxies) Address(link string) (string, error) {
+	proxy, err := p.of(link)
+	if err != nil {
+		return "", err
+	}
+	return proxy.Listen, nil
+}
+
 func (p *Proxies) of(link string) (*toxiproxy.Proxy, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
