Announce departures that the platform's list shows, and spread reconnects

Cause: an instance that the platform takes away without an operator's word kept its share of work until it was gone; a lost zone was dialled ten times a second by every entry. Ruled out: every process reading the list, which costs the store a call each; treating a missing line as a dead endpoint, because the list lags. Change: the processes that watch the store read the list and announce what it shows as leaving, once; lost peers are tried every two seconds, spread. A process that takes over the watch may announce a departure again that an operator called off.

--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -14,6 +14,8 @@
 	"filbertusher/internal/admin"
 	"filbertusher/internal/config"
 	"filbertusher/internal/link"
+	"filbertusher/internal/member"
+	"filbertusher/internal/operator"
 	"filbertusher/internal/platform"
 	"filbertusher/internal/settings"
 	"filbertusher/internal/spread"
@@ -86,6 +88,8 @@
 	p.admin.Section("config", spreading.State)
 	p.group.Go(func() error { return spreading.Run(ctx) })
 	p.group.Go(func() error { return server.Serve(ctx) })
+	hints := member.NewHints(p.store, operator.New(p.store, "filbertusher"), p.config, spreading.WatchesStore, p.log)
+	p.group.Go(func() error { return hints.Run(ctx) })
 	return nil
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,9 @@
 	collectGrace = 2 * time.Second
 	// reconnectDelay is the pause after a failed Collect.
 	reconnectDelay = 100 * time.Millisecond
+	// lostDelay is about the pause after each failed try to reach a lost peer.
+	// It is spread, so that a zone that comes back is not met by all at once.
+	lostDelay = 2 * time.Second
 	// lostAfter is how long a peer may be out of reach before the streams and
 	// answers that are expected from it are given up.
 	lostAfter = 3 * time.Second
@@ -187,7 +191,7 @@
 			}
 			p.unreached(failing, err)
 			p.link.Reset()
-			sleep(ctx, reconnectDelay)
+			sleep(ctx, p.reconnectPause())
 			continue
 		}
 		failing = time.Time{}
@@ -197,6 +201,13 @@
 	p.failStreams(0, "the endpoint is not served any more")
 }
 
+func (p *peer) reconnectPause() time.Duration {
+	if p.contact.Load().reach != reachLost {
+		return reconnectDelay
+	}
+	return lostDelay/2 + rand.N(lostDelay)
+}
+
 func (p *peer) collectOnce(ctx context.Context, ack uint64) (*wire.CollectReply, error) {
 	now := p.contact.Load()
 	p.mu.Lock()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -39,7 +39,10 @@
 	http *http.Client
 }
 
-var _ usher.Store = (*Client)(nil)
+var (
+	_ usher.Store     = (*Client)(nil)
+	_ usher.Instances = (*Client)(nil)
+)
 
 // New returns a client of the store at address, an IP address and port.
 func New(address string, client *http.Client) *Client {
@@ -77,6 +80,13 @@
 	return reply.Events, reply.Revision, err
 }
 
+// Instances implements usher.Instances.
+func (c *Client) Instances(ctx context.Context) ([]usher.Instance, error) {
+	var instances []usher.Instance
+	err := c.read(ctx, callTimeout, "instances", "/instances", &instances)
+	return instances, err
+}
+
 // Put implements usher.Store.
 func (c *Client) Put(ctx context.Context, key usher.ObjectKey, expected usher.Version, value []byte) (usher.Version, error) {
 	return c.write(ctx, http.MethodPut, key, expected, value)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -131,7 +131,7 @@
 	state := map[string]any{
 		"version": current.Version, "change": current.Head.ID, "author": current.Head.Author, "accepted": current.Head.Time,
 		"services": len(current.Services), "endpoints": len(current.Endpoints), "workspaces": len(current.Workspaces),
-		"watchesStore": s.watchesStore(),
+		"watchesStore": s.WatchesStore(),
 	}
 	if current.InForce != nil {
 		state["preset"] = current.InForce.Name
@@ -142,7 +142,9 @@
 	return state
 }
 
-func (s *Spread) watchesStore() bool {
+// WatchesStore says whether this is one of the few processes that watch the
+// store now. Other work that only a few should do goes to them as well.
+func (s *Spread) WatchesStore() bool {
 	if s.watching.TryLock() {
 		s.watching.Unlock()
 		return false
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -43,6 +43,19 @@
 	Watch(ctx context.Context, prefix ObjectKey, since Version, wait time.Duration) ([]Event, Version, error)
 }
 
+// Instance is one line of the platform's list of instances.
+type Instance struct {
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Instances is the platform's list of live and leaving instances. It lags, so
+// it is a hint and never a reason to hold that an instance is there or gone.
+type Instances interface {
+	// Instances returns the list; errors are *UnavailableError.
+	Instances(ctx context.Context) ([]Instance, error)
+}
+
 // Candidate is an endpoint that could run a request, with the estimate that
 // ranked it. The estimates go to the log and to the record.
 type Candidate struct {
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -86,7 +86,7 @@
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	commands := map[string]func(*datadriven.TestData) (string, error){
 		"start": s.start, "entry": s.entry, "put": s.put, "process": s.process, "link": s.link, "faults": s.faults,
-		"forget": s.forget, "inForce": s.inForce, "cli": s.cli, "race": s.race, "watching": s.watching, "tiers": s.tiers, "await": s.await, "ready": s.ready,
+		"forget": s.forget, "inForce": s.inForce, "cli": s.cli, "race": s.race, "watching": s.watching, "tiers": s.tiers, "await": s.await, "ready": s.ready, "instances": s.instances,
 	}
 	command, ok := commands[d.Cmd]
 	if !ok {
@@ -118,7 +118,7 @@
 // over the zones in turn; each zone has its own way to the store.
 func (s *script) start(d *datadriven.TestData) (string, error) {
 	var err error
-	if s.fleet, err = fleet.New(binaries); err != nil {
+	if s.fleet, err = fleet.New(binaries, "--list-lag", "100ms"); err != nil {
 		return "", err
 	}
 	var zones []string
@@ -224,6 +224,16 @@
 	return "", s.fleet.Store.Control(s.ctx, "faults", faults)
 }
 
+// instances: "instances leaving=NAME" sets the platform's list, in which one
+// instance is leaving.
+func (s *script) instances(d *datadriven.TestData) (string, error) {
+	var list []store.Instance
+	for name, member := range s.processes {
+		list = append(list, store.Instance{Address: member.Address, Leaving: name == arg(d, "leaving", "")})
+	}
+	return "", s.fleet.Store.Control(s.ctx, "instances", list)
+}
+
 // forget: "forget [everything]" makes the store lose its history or all.
 func (s *script) forget(d *datadriven.TestData) (string, error) {
 	url := "http://" + s.fleet.Store.Address + "/control/forget?everything=" + strconv.FormatBool(d.HasArg("everything"))
