Hold every decision in two processes until it is stored

Cause: the recorder kept decisions in memory of one process only. Ruled out: a second message for every answer (the companion that answered knows the decision already, so its copy costs no round trip); death detection by leases (a wrong suspicion here only stores a line twice). Change: the entry is the writer of a chain of batches, companions keep copies until the batch is stored and store them when the entry falls silent. A decision that no companion has seen is held by one before the caller is answered.

--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -26,6 +26,8 @@
 	running         int
 	waiting         int
 	retention       time.Duration
+	recordSilence   time.Duration
+	recordLimit     int
 }
 
 func newCompanionCommand() *Command {
@@ -39,6 +41,8 @@
 	command.Settings.Int(&p.running, "max-running", 32, 1, 4096, "how many requests may be in the endpoint at once")
 	command.Settings.Int(&p.waiting, "max-waiting", 10000, 0, 1000000, "how many requests may wait for the endpoint")
 	command.Settings.Duration(&p.retention, "retention", 10*time.Minute, time.Second, 24*time.Hour, "how long ended requests are remembered")
+	command.Settings.Duration(&p.recordSilence, "record-silence", 30*time.Second, 100*time.Millisecond, time.Hour, "how long an entry may be silent before its part of the record is stored from here; three times the entries' record-interval or more")
+	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what copies for the record may take in memory, in bytes")
 	command.Run = p.run
 	return command
 }
@@ -63,17 +67,25 @@
 		return err
 	}
 	name := usher.EndpointName(p.endpointName)
+	keeper := record.NewKeeper(record.KeeperOptions{
+		Incarnation: p.incarnation, Silence: p.recordSilence, Limit: int64(p.recordLimit),
+	}, p.store, p.log)
 	beside := companion.New(companion.Options{Endpoint: name, Incarnation: p.incarnation, Fence: 1}, companion.Dependencies{
 		Config: p.config, Backend: p.backend(),
 		Admission: waiting.New(name, waiting.Options{Running: p.running, Waiting: p.waiting}),
-		Ledger:    ledger.New(p.retention), Recorder: record.NewMemory(recordLimit), Log: p.log,
+		Ledger:    ledger.New(p.retention), Keeper: keeper, Log: p.log,
 	})
 	p.admin.Section("companion", beside.State)
+	p.admin.Section("record", keeper.State)
 	server := link.NewServer(listener)
 	if err := server.Register("Companion", companion.NewRPC(beside)); err != nil {
 		return err
 	}
+	if err := server.Register("Record", record.NewKeeperRPC(keeper)); err != nil {
+		return err
+	}
 	p.group.Go(func() error { return server.Serve(ctx) })
+	p.group.Go(func() error { return keeper.Run(ctx) })
 	p.log.Info().Str("listen", listener.Addr().String()).Msg("listening")
 	go p.ready(ctx)
 	go func() {
@@ -83,6 +95,7 @@
 		if err := beside.Drain(limit); err != nil {
 			p.log.Warn().Err(err).Msg("drainTimeout")
 		}
+		keeper.Close(limit)
 		cancel()
 	}()
 	return p.group.Wait()
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -12,9 +12,6 @@
 	"filbertusher/pkg/usher"
 )
 
-// recordLimit is how many decisions a process keeps in memory.
-const recordLimit = 100000
-
 // entryProcess is the settings of the entry.
 type entryProcess struct {
 	process
@@ -23,6 +20,8 @@
 	maxTimeout     time.Duration
 	bodyTimeout    time.Duration
 	readinessDelay time.Duration
+	record         record.Options
+	recordLimit    int
 }
 
 func newEntryCommand() *Command {
@@ -34,6 +33,9 @@
 	command.Settings.Duration(&p.maxTimeout, "max-timeout", 10*time.Minute, time.Second, 24*time.Hour, "the longest timeout a caller may ask for")
 	command.Settings.Duration(&p.bodyTimeout, "body-timeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute, "how long a caller may take to send a request")
 	command.Settings.Duration(&p.readinessDelay, "readiness-delay", time.Second, 0, time.Minute, "how long a planned stop waits for the balancer to notice")
+	command.Settings.Duration(&p.record.Interval, "record-interval", 10*time.Second, 50*time.Millisecond, time.Minute, "how long decisions are gathered before they are stored in the record")
+	command.Settings.Float(&p.record.WritesPerSecond, "record-writes", 100, 0.1, 100000, "the share of the store's writes a second that all entries together use for the record")
+	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what the record may hold in memory while it can't be stored, in bytes")
 	command.Run = p.run
 	return command
 }
@@ -50,7 +52,8 @@
 		return err
 	}
 	placer := placement.New(p.config, usher.AvailabilityZone(p.zone))
-	recorder := record.NewMemory(recordLimit)
+	p.record.Limit = int64(p.recordLimit)
+	recorder := record.NewRecorder(p.record, p.store, p.incarnation, p.log)
 	server := entry.New(entry.Options{
 		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout,
 	}, entry.Dependencies{Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
@@ -61,9 +64,14 @@
 	serving, stopServing := context.WithCancel(context.Background())
 	defer stopServing()
 	p.group.Go(func() error { return server.Run(ctx) })
+	p.group.Go(func() error { return recorder.Run(ctx, server.RecordPeers()) })
 	p.group.Go(func() error {
 		defer cancel()
-		return server.Serve(serving, listener, p.drainTimeout)
+		err := server.Serve(serving, listener, p.drainTimeout)
+		limit, stop := context.WithTimeout(ctx, p.drainTimeout)
+		defer stop()
+		recorder.Close(limit)
+		return err
 	})
 	p.log.Info().Str("listen", listener.Addr().String()).Msg("listening")
 	go p.ready(ctx)
--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -30,7 +30,7 @@
 	Backend   usher.Backend
 	Admission usher.Admission
 	Ledger    *ledger.Ledger
-	Recorder  usher.Recorder
+	Keeper    usher.RecordKeeper
 	Log       zerolog.Logger
 }
 
--- /dev/null
+++ b/internal/companion/record.go
@@ -0,0 +1,50 @@
+package companion
+
+import (
+	"time"
+
+	"filbertusher/internal/wire"
+	"filbertusher/pkg/usher"
+)
+
+// hold keeps a copy of an outcome for the record before it is told to the
+// entry, so that from that moment two processes hold it. It says whether the
+// copy is held.
+func (c *Companion) hold(args *wire.SubmitArgs, reply *wire.SubmitReply) bool {
+	decision := c.decision(args)
+	switch reply.State {
+	case wire.StateAnswered:
+		decision.Outcome, decision.Status = usher.OutcomeRan, reply.Answer.Status
+		decision.AnswerSHA256 = string(reply.Answer.Digest())
+		decision.AnswerBytes = int64(len(reply.Answer.Body))
+	case wire.StateRefused:
+		decision.Outcome, decision.Refusal = reply.Refusal.Outcome, reply.Refusal.Kind
+	default:
+		return false
+	}
+	return c.Keeper.Hold(decision)
+}
+
+// holdEnd keeps a copy of the end of a streamed answer.
+func (c *Companion) holdEnd(args *wire.SubmitArgs, event *wire.Event, size int64) {
+	decision := c.decision(args)
+	decision.Outcome = usher.OutcomeRan
+	if event.Refusal != nil {
+		decision.Outcome, decision.Refusal = event.Refusal.Outcome, event.Refusal.Kind
+	}
+	decision.AnswerSHA256, decision.AnswerBytes = string(event.Digest), size
+	event.Held = c.Keeper.Hold(decision)
+}
+
+// decision is what the companion knows of a request before its end.
+func (c *Companion) decision(args *wire.SubmitArgs) usher.Decision {
+	return usher.Decision{
+		Time: args.Record.Time, ID: args.Header.ID, View: usher.ViewCompanion,
+		Workspace: args.Header.Workspace, TokenName: args.Record.TokenName,
+		Service: args.Header.Service, Tier: args.Header.Tier, Key: string(args.Header.Key),
+		ConfigVersion: args.Record.ConfigVersion, Preset: args.Record.Preset,
+		Candidates: args.Record.Candidates, Endpoint: c.options.Endpoint,
+		Attempts: args.Header.Attempt, RequestSHA256: string(args.Header.Digest),
+		Duration: usher.Duration(time.Since(args.Record.Time)),
+	}
+}
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -13,7 +13,12 @@
 
 // Submit offers a request with its body.
 func (r *RPC) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
+	if err := r.companion.Keeper.Accept(args.Header.Rank); err != nil {
+		*reply = r.companion.refused(asRefusal(err, usher.OutcomeNotRun))
+		return nil
+	}
 	*reply = r.companion.submit(args)
+	reply.Held = r.companion.hold(args, reply)
 	return nil
 }
 
@@ -25,6 +30,7 @@
 		return nil
 	}
 	*reply = r.companion.outcome(entry)
+	reply.Held = r.companion.Keeper.Holds(args.ID)
 	return nil
 }
 
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -171,14 +171,18 @@
 		w.cancelInEndpoint(ctx)
 		refusal := w.failure(ctx, err)
 		w.entry.Finish(nil, refusal)
-		reader.outlet.add(wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal})
+		event := wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal}
+		w.companion.holdEnd(w.args, &event, reader.size)
+		reader.outlet.add(event)
 		return
 	}
 	w.entry.Finish(&usher.Answer{}, nil)
-	reader.outlet.add(wire.Event{
+	event := wire.Event{
 		Stream: reader.number, Offset: reader.next, End: wire.EndWhole,
 		Digest: usher.Digest(hex.EncodeToString(reader.digest.Sum(nil))),
-	})
+	}
+	w.companion.holdEnd(w.args, &event, reader.size)
+	reader.outlet.add(event)
 }
 
 // streamReader copies the events of a stream, each offset once and in order.
@@ -186,6 +190,7 @@
 	outlet *outlet
 	number uint64
 	next   uint64
+	size   int64
 	digest hash.Hash
 	slot   usher.Slot
 	last   time.Time
@@ -230,6 +235,7 @@
 	r.last = now
 	r.next++
 	r.digest.Write(event.Data)
+	r.size += int64(len(event.Data))
 	r.count(1)
 	r.outlet.add(wire.Event{Stream: r.number, Offset: event.Offset, Data: event.Data})
 }
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
 
@@ -34,10 +35,14 @@
 	started    time.Time
 	candidates []usher.Candidate
 	endpoint   usher.EndpointName
+	copies     usher.Copies
+	// reply is the newest reply of a companion on the request.
+	reply *wire.SubmitReply
 }
 
 // accept makes a request of what the caller sent, except for the body, or
-// returns why it is refused. Nothing costly is done before the caller is known.
+// returns why it is refused; then the request is nil when the caller is not
+// known. Nothing costly is done before the caller is known.
 func (e *Entry) accept(r *http.Request) (*request, *usher.Refusal) {
 	snapshot := e.Config.Current()
 	if snapshot.Version == 0 {
@@ -51,14 +56,14 @@
 	accepted.ID = e.ids.request()
 	accepted.Workspace = identity.Workspace.Name
 	if refusal := accepted.chooseTier(r.Header.Get(headerTier), identity.Workspace); refusal != nil {
-		return nil, refusal
+		return accepted, refusal
 	}
 	if refusal := accepted.chooseDeadline(r.Header.Get(headerTimeout), e.options.MaxTimeout); refusal != nil {
-		return nil, refusal
+		return accepted, refusal
 	}
 	accepted.Key = usher.IdempotencyKey(r.Header.Get(headerKey))
 	if len(accepted.Key) > maxKeyBytes {
-		return nil, usher.NewRefusal(usher.RefusalBadRequest, headerKey+" is longer than "+strconv.Itoa(maxKeyBytes)+" bytes")
+		return accepted, usher.NewRefusal(usher.RefusalBadRequest, headerKey+" is longer than "+strconv.Itoa(maxKeyBytes)+" bytes")
 	}
 	return accepted, nil
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -43,7 +43,7 @@
 	}
 	accepted, refusal := e.accept(r)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.end(w, accepted, nil, refusal)
 		return
 	}
 	body, refusal := e.readBody(w, r)
@@ -119,7 +119,7 @@
 func (e *Entry) plain(w http.ResponseWriter, r *http.Request) {
 	accepted, refusal := e.accept(r)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.end(w, accepted, nil, refusal)
 		return
 	}
 	service, ok := accepted.snapshot.Services[usher.ServiceName(r.PathValue("service"))]
@@ -153,10 +153,11 @@
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
 }
 
-// listModels serves the models that callers can ask for.
+// listModels serves the models that callers can ask for. It decides nothing,
+// so it takes no request id: every id that was given has a line in the record.
 func (e *Entry) listModels(w http.ResponseWriter, r *http.Request) {
-	accepted, refusal := e.accept(r)
-	if refusal != nil {
+	snapshot := e.Config.Current()
+	if _, refusal := authenticate(snapshot, r); refusal != nil {
 		e.refuse(w, refusal)
 		return
 	}
@@ -165,7 +166,7 @@
 		Object string          `json:"object"`
 	}
 	models := []model{}
-	for name := range accepted.snapshot.Models {
+	for name := range snapshot.Models {
 		models = append(models, model{ID: name, Object: "model"})
 	}
 	sort.Slice(models, func(i, j int) bool { return models[i].ID < models[j].ID })
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -21,29 +21,39 @@
 // refuse answers a request that was refused before it had an id.
 func (e *Entry) refuse(w http.ResponseWriter, refusal *usher.Refusal) {
 	e.metrics.refused(1)
+	e.Recorder.Count(refusal.Kind)
 	writeRefusal(w, refusal)
 	e.Log.Info().Str("refusal", string(refusal.Kind)).Str("outcome", string(refusal.Outcome)).Msg("requestRefused")
 }
 
-// end delivers a whole answer or a refusal, and records the decision.
+// end records the decision, then delivers a whole answer or a refusal. A
+// request that is nil was refused before its caller was known.
 func (e *Entry) end(w http.ResponseWriter, accepted *request, answer *usher.Answer, refusal *usher.Refusal) {
+	if accepted == nil {
+		e.refuse(w, refusal)
+		return
+	}
 	w.Header().Set(headerRequestID, string(accepted.ID))
 	decision := accepted.decision()
 	if refusal != nil {
 		refusal = refusal.WithRequestID(accepted.ID)
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
+		accepted.copies.Same = accepted.heldAs(nil, refusal)
+		e.finish(decision, accepted.copies)
 		writeRefusal(w, refusal)
-	} else {
-		decision.Outcome = usher.OutcomeRan
-		decision.AnswerSHA256 = string(answer.Digest())
-		decision.AnswerBytes = int64(len(answer.Body))
-		writeAnswer(w, answer)
+		return
 	}
-	e.finish(decision)
+	decision.Outcome, decision.Status = usher.OutcomeRan, answer.Status
+	decision.AnswerSHA256 = string(answer.Digest())
+	decision.AnswerBytes = int64(len(answer.Body))
+	accepted.copies.Same = accepted.heldAs(answer, nil)
+	e.finish(decision, accepted.copies)
+	writeAnswer(w, answer)
 }
 
-// finish counts, records and logs a decision.
-func (e *Entry) finish(decision usher.Decision) {
+// finish counts, records and logs a decision. It does not use the request's
+// context, because a caller that left must not keep its request unrecorded.
+func (e *Entry) finish(decision usher.Decision, copies usher.Copies) {
 	switch {
 	case decision.Outcome == usher.OutcomeUnknown:
 		e.metrics.unknown(1)
@@ -52,7 +62,11 @@
 	default:
 		e.metrics.answered(1)
 	}
-	e.Recorder.Record(decision)
+	if decision.Refusal == usher.RefusalRecordFull {
+		e.Recorder.Count(decision.Refusal)
+	} else {
+		e.Recorder.Record(context.Background(), decision, copies)
+	}
 	e.Log.Info().
 		Str("requestId", string(decision.ID)).
 		Str("workspace", string(decision.Workspace)).
@@ -69,8 +83,8 @@
 func (r *request) decision() usher.Decision {
 	decision := usher.Decision{
 		Time: r.started, ID: r.ID, Workspace: r.Workspace, TokenName: r.tokenName,
-		Service: r.Service, Tier: r.Tier, Key: string(r.Key),
-		ConfigVersion: r.snapshot.Version, Candidates: r.candidates, Endpoint: r.endpoint,
+		View: usher.ViewEntry, Service: r.Service, Tier: r.Tier, Key: string(r.Key),
+		ConfigVersion: r.snapshot.Version, Candidates: r.recordedCandidates(), Endpoint: r.endpoint,
 		Attempts: r.Attempt, RequestSHA256: string(r.Digest),
 		Duration: usher.Duration(time.Since(r.started)),
 	}
@@ -130,16 +144,18 @@
 		if refusal != nil {
 			decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
 			decision.Duration = usher.Duration(time.Since(accepted.started))
-			e.finish(decision)
+			accepted.copies.Same = event.Held
+			e.finish(decision, accepted.copies)
 			out.abort(refusal.WithRequestID(accepted.ID))
 		}
 		if event.End == wire.EndWhole {
-			out.write("data: [DONE]\n\n")
 			decision.Outcome = usher.OutcomeRan
 			decision.AnswerSHA256 = string(event.Digest)
 			decision.AnswerBytes = out.written
 			decision.Duration = usher.Duration(time.Since(accepted.started))
-			e.finish(decision)
+			accepted.copies.Same = event.Held
+			e.finish(decision, accepted.copies)
+			out.write("data: [DONE]\n\n")
 			return
 		}
 		digest.Write(event.Data)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -79,10 +79,13 @@
 	args := &wire.SubmitArgs{
 		Caller: e.caller(), Header: accepted.RequestHeader, Remaining: time.Until(accepted.Deadline),
 		Call: accepted.call, MayWait: mayWait, Stream: stream.number,
+		Record: accepted.recordContext(),
 	}
 	reply := &wire.SubmitReply{}
+	accepted.offeredTo(endpoint)
 	err := peer.link.Call(ctx, wire.MethodSubmit, args, reply)
 	if err == nil {
+		accepted.reply = reply
 		got, final = e.judge(reply, stream)
 	} else {
 		got, final = e.settle(ctx, accepted, peer, stream, err)
@@ -114,7 +117,7 @@
 		return false
 	}
 	switch refusal.Kind {
-	case usher.RefusalLeaving, usher.RefusalOverloaded, usher.RefusalEndpointFailed:
+	case usher.RefusalLeaving, usher.RefusalOverloaded, usher.RefusalEndpointFailed, usher.RefusalRecordFull:
 		return true
 	default:
 		return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,7 +58,7 @@
 	e := &Entry{
 		Dependencies: dependencies,
 		options:      options,
-		ids:          newIDSource(),
+		ids:          newIDSource(options.Incarnation),
 		metrics: metrics{
 			requests: group.Counter("requests").Add,
 			answered: group.Counter("answered").Add,
--- a/internal/entry/ids.go
+++ b/internal/entry/ids.go
@@ -4,20 +4,19 @@
 	"strconv"
 	"sync/atomic"
 
-	"github.com/google/uuid"
-
 	"filbertusher/pkg/usher"
 )
 
-// idSource makes request ids: a random part for the incarnation and a count,
-// so that an id costs no random numbers on the path of a request.
+// idSource makes request ids: the entry's incarnation and a count. An id costs
+// no random numbers on the path of a request, it leads to the entry's chain in
+// the record, and a count that is missing there is a line that was lost.
 type idSource struct {
 	prefix string
 	next   *atomic.Uint64
 }
 
-func newIDSource() idSource {
-	return idSource{prefix: uuid.NewString() + "-", next: new(atomic.Uint64)}
+func newIDSource(incarnation usher.Incarnation) idSource {
+	return idSource{prefix: string(incarnation) + "-", next: new(atomic.Uint64)}
 }
 
 func (s idSource) request() usher.RequestID {
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -33,6 +33,7 @@
 	}
 	reply, err := e.fetch(ctx, accepted, peer)
 	if err == nil {
+		accepted.reply = reply
 		got, _ := e.judge(reply, stream)
 		return got, true
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -21,6 +21,7 @@
 	MethodWithdraw = "Companion.Withdraw"
 	MethodCollect  = "Companion.Collect"
 	MethodSnapshot = "Peer.Snapshot"
+	MethodRecord   = "Record.Exchange"
 )
 
 // Caller is embedded in every request.
@@ -53,6 +54,8 @@
 	// Stream is the number under which the events of a streamed answer are
 	// delivered to the calling incarnation by Collect.
 	Stream uint64
+	// Record completes the header to a line of the record.
+	Record usher.RecordContext
 }
 
 // SubmitState says what became of an offered request.
@@ -75,6 +78,8 @@
 	State   SubmitState
 	Answer  *usher.Answer
 	Refusal *usher.Refusal
+	// Held says that the companion holds a copy of this outcome for the record.
+	Held bool
 }
 
 // FetchArgs asks for the outcome of a request that was submitted before, for
@@ -154,6 +159,8 @@
 	Refusal *usher.Refusal
 	// Digest covers the data of all events; only with EndWhole.
 	Digest usher.Digest
+	// Held says that the companion holds a copy of this end for the record.
+	Held bool
 }
 
 // SnapshotArgs asks a peer for its configuration if that is newer.
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -46,12 +46,12 @@
 // Candidate is an endpoint that could run a request, with the estimate that
 // ranked it. The estimates go to the log and to the record.
 type Candidate struct {
-	Endpoint EndpointName
+	Endpoint EndpointName `json:"endpoint"`
 	// Finish is how long the request is expected to take there, waiting
 	// included.
-	Finish time.Duration
+	Finish time.Duration `json:"finish"`
 	// Reused is how much of the prompt's prefix is expected to be cached.
-	Reused Tokens
+	Reused Tokens `json:"reused,omitempty"`
 }
 
 // LoadReport is what a companion tells of its endpoint on every reply.
@@ -107,34 +107,3 @@
 	// Release gives the slot back. It may be called more than once.
 	Release()
 }
-
-// Decision is one line of the record: what was decided on a request and why.
-type Decision struct {
-	Time          time.Time     `json:"time"`
-	ID            RequestID     `json:"id"`
-	Workspace     WorkspaceName `json:"workspace"`
-	TokenName     string        `json:"tokenName,omitempty"`
-	Service       ServiceName   `json:"service"`
-	Tier          TierName      `json:"tier"`
-	Key           string        `json:"key,omitempty"`
-	ConfigVersion Version       `json:"configVersion"`
-	Preset        PresetName    `json:"preset"`
-	Candidates    []Candidate   `json:"candidates,omitempty"`
-	Endpoint      EndpointName  `json:"endpoint,omitempty"`
-	Attempts      Attempt       `json:"attempts"`
-	Outcome       Outcome       `json:"outcome"`
-	Refusal       RefusalKind   `json:"refusal,omitempty"`
-	RequestSHA256 string        `json:"requestSha256,omitempty"`
-	AnswerSHA256  string        `json:"answerSha256,omitempty"`
-	AnswerBytes   int64         `json:"answerBytes,omitempty"`
-	Duration      Duration      `json:"duration"`
-}
-
-// Recorder keeps decisions for the inspector.
-type Recorder interface {
-	// Accept says whether a request of the rank may still be run; when the
-	// backlog is full it returns a *Refusal.
-	Accept(rank Rank) error
-	// Record keeps a decision until it is stored.
-	Record(decision Decision)
-}
