Read the record: find, show, verify, export and expire

Cause: nothing read what entries and companions store, and no test killed one. Ruled out: keys that begin with the time (a list returns whole values and has no pages, so a search by time would fetch whole minutes of the fleet); one list of everything. Change: package archive and the record subcommands; an index object for each 50 batches; real-process tests that kill the entry, the companion and both, lose and delay writes, hold the store down until the backlog is full, and stop an entry during an outage. A companion that holds a sealed batch also holds the announcement of its chain: the tests of both deaths in turn and of the planned stop in an outage failed without it, because no reader found the chain. Conclusion: no single death loses a line; two at once lose what only those two held, and verify counts it.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -45,7 +45,7 @@
 
 // all lists the subcommands in the order in which the help shows them.
 func all() []*Command {
-	return []*Command{newEntryCommand(), newCompanionCommand(), newDumpCommand(), newPutCommand()}
+	return []*Command{newEntryCommand(), newCompanionCommand(), newDumpCommand(), newPutCommand(), newRecordCommand()}
 }
 
 // ExitError ends the process with a status other than ExitFailed.
--- a/internal/record/outbox.go
+++ b/internal/record/outbox.go
@@ -191,8 +191,8 @@
 	if o.announced {
 		return nil
 	}
-	value := encodeJSON(Writer{Format: FormatName, Version: FormatVersion, Name: o.writer, Role: o.role, Started: o.started.UTC()})
-	err := storeOnce(ctx, o.store, WriterKey(o.writer, o.started), value)
+	announcement := o.announcement()
+	err := storeOnce(ctx, o.store, announcement.Key, announcement.Value)
 	var displaced *DisplacedError
 	if err != nil && !errors.As(err, &displaced) {
 		return err
@@ -201,6 +201,16 @@
 	return nil
 }
 
+// announcement is the object by which readers find the chain.
+func (o *outbox) announcement() wire.SealedBatch {
+	return wire.SealedBatch{
+		Key: WriterKey(o.writer, o.started),
+		Value: encodeJSON(Writer{
+			Format: FormatName, Version: FormatVersion, Name: o.writer, Role: o.role, Started: o.started.UTC(),
+		}),
+	}
+}
+
 func (o *outbox) storedOldest(batch *sealedBatch) {
 	size := len(batch.Value)
 	for _, one := range batch.items {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -59,10 +59,16 @@
 	return PrefixWriter + month.UTC().Format(monthLayout) + "/"
 }
 
+// CheckpointMonth returns the prefix of the checkpoints of the writers that
+// started in a month.
+func CheckpointMonth(month time.Time) string {
+	return PrefixCheckpoint + month.UTC().Format(monthLayout) + "/"
+}
+
 // CheckpointKey returns the key of a writer's checkpoint, which stands for the
 // batches of the writer that have expired.
-func CheckpointKey(writer string) usher.ObjectKey {
-	return usher.ObjectKey(PrefixCheckpoint + writer)
+func CheckpointKey(writer string, started time.Time) usher.ObjectKey {
+	return usher.ObjectKey(CheckpointMonth(started) + writer)
 }
 
 // displacedKey is where a batch goes whose own key holds something else.
@@ -91,12 +97,20 @@
 // Checkpoint stands for the expired batches at the beginning of a chain. The
 // digest of the last of them lets the rest of the chain be verified.
 type Checkpoint struct {
-	Format  string       `json:"format"`
-	Version int          `json:"version"`
-	Writer  string       `json:"writer"`
+	Format  string    `json:"format"`
+	Version int       `json:"version"`
+	Writer  string    `json:"writer"`
+	Started time.Time `json:"started"`
+	// From and Through are the first and last batch that the newest expiry
+	// removed; what was before From had been removed earlier.
+	From    uint64       `json:"from"`
 	Through uint64       `json:"through"`
 	Digest  usher.Digest `json:"digest"`
-	// Lines counts the expired decisions, Newest is the time of the last one.
+	// Closed says that Through was the end of a chain that was closed.
+	Closed bool `json:"closed,omitempty"`
+	// FirstIndex is the number of the first index object that is left.
+	FirstIndex uint64 `json:"firstIndex"`
+	// Lines counts all expired decisions, Newest is the time of the last one.
 	Lines     int            `json:"lines"`
 	Newest    time.Time      `json:"newest"`
 	Retention usher.Duration `json:"retention"`
--- a/internal/record/run.go
+++ b/internal/record/run.go
@@ -135,7 +135,7 @@
 	defer r.mu.Unlock()
 	if holder := r.outbox.holderOf(batch); holder != "" {
 		one := r.witness(holder)
-		one.releasedBatches = append(one.releasedBatches, batch.Key)
+		one.releasedBatches = append(one.releasedBatches, batch.Key, r.outbox.announcement().Key)
 		one.held--
 	}
 }
@@ -156,14 +156,14 @@
 	}
 }
 
-// handOver has a companion other than not hold a sealed batch. It says whether
-// one does.
+// handOver has a companion other than not hold a sealed batch, together with
+// the object that announces its chain. It says whether one does.
 func (r *Recorder) handOver(ctx context.Context, batch *sealedBatch, not usher.EndpointName) bool {
 	held := r.outbox.holderOf(batch)
 	if held != "" && not == "" {
 		return true
 	}
-	args := &wire.RecordArgs{Sealed: []wire.SealedBatch{batch.SealedBatch}}
+	args := &wire.RecordArgs{Sealed: []wire.SealedBatch{r.outbox.announcement(), batch.SealedBatch}}
 	for _, endpoint := range r.candidates("", holdAttempts+1) {
 		if endpoint == not || !r.send(ctx, endpoint, args) {
 			continue
--- a/internal/wire/record.go
+++ b/internal/wire/record.go
@@ -20,7 +20,8 @@
 	Head RecordHead
 }
 
-// SealedBatch is a batch of the record as it will be stored.
+// SealedBatch is a batch of the record, or the object that announces its chain,
+// as it will be stored.
 type SealedBatch struct {
 	Key   usher.ObjectKey
 	Value []byte
