--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -13,6 +13,7 @@
 
 // Submit offers a request with its body.
 func (r *RPC) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
+	r.companion.Config.Hear(args.Peer, args.ConfigVersion)
 	if err := r.companion.Keeper.Accept(args.Header.Rank); err != nil {
 		*reply = r.companion.refused(asRefusal(err, usher.OutcomeNotRun))
 		return nil
@@ -26,7 +27,7 @@
 func (r *RPC) Fetch(args *wire.FetchArgs, reply *wire.SubmitReply) error {
 	entry, ok := r.companion.Ledger.Find(args.ID)
 	if !ok {
-		*reply = r.companion.refused(usher.NewUnknown(usher.RefusalEndpointFailed, "the endpoint does not know the request"))
+		*reply = wire.SubmitReply{Status: r.companion.status(), State: wire.StateNotKnown}
 		return nil
 	}
 	*reply = r.companion.outcome(entry)
@@ -43,7 +44,13 @@
 
 // Collect waits for events of the caller's streams.
 func (r *RPC) Collect(args *wire.CollectArgs, reply *wire.CollectReply) error {
-	reply.Batch, reply.Events = r.companion.outlets.of(args.Incarnation).collect(args.Ack, args.Wait)
+	r.companion.Config.Hear(args.Peer, args.ConfigVersion)
+	for _, id := range args.Withdraw {
+		r.companion.Ledger.Withdraw(id, true)
+	}
+	outlet := r.companion.outlets.of(args.Incarnation)
+	reply.Session = outlet.session
+	reply.Batch, reply.Events = outlet.collect(args.Session, args.Ack, args.Wait)
 	reply.Status = r.companion.status()
 	return nil
 }
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -38,6 +38,8 @@
 	copies     usher.Copies
 	// reply is the newest reply of a companion on the request.
 	reply *wire.SubmitReply
+	// unsure holds the refusals of the attempts whose outcome is unknown.
+	unsure []*usher.Refusal
 }
 
 // accept makes a request of what the caller sent, except for the body, or
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -9,7 +9,9 @@
 	"strconv"
 	"sync"
 
+	"filbertusher/internal/admin"
 	"filbertusher/internal/config"
+	"filbertusher/internal/operator"
 	"filbertusher/internal/platform"
 	"filbertusher/pkg/usher"
 )
@@ -97,6 +99,20 @@
 	return f.standin(name, append([]string{"desk"}, args...)...)
 }
 
+// Forwarder starts a bare HTTP forwarder.
+func (f *Fleet) Forwarder(name, to string) (*Member, error) {
+	return f.standin(name, "forward", "--to", to)
+}
+
+// Dump reads the state of a process of the product.
+func (m *Member) Dump(ctx context.Context, into any) error {
+	body, err := exchange(ctx, http.MethodGet, "http://"+m.Admin+admin.PathDump, nil)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, into)
+}
+
 // loopback lets a process pick a free port.
 const loopback = "127.0.0.1:0"
 
@@ -122,15 +138,13 @@
 	return err
 }
 
-// Put writes a declared object, whatever its version was.
+// Put declares an object in the way that operators do.
 func (f *Fleet) Put(ctx context.Context, kind config.Kind, name string, object any) (usher.Version, error) {
-	value, err := json.Marshal(object)
+	head, err := operator.New(f.Client, "fleet").Put(ctx, kind, name, object)
 	if err != nil {
 		return 0, err
 	}
-	key := config.Key(kind, name)
-	current, _ := f.Client.Get(ctx, key)
-	return f.Client.Put(ctx, key, current.Version, value)
+	return head.Version, nil
 }
 
 // Control sends a setting to the control URL of a stand-in.
