--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -8,6 +8,7 @@
 
 	"filbertusher/internal/entry"
 	"filbertusher/internal/link"
+	"filbertusher/internal/member"
 	"filbertusher/internal/placement"
 	"filbertusher/internal/record"
 	"filbertusher/pkg/usher"
@@ -24,6 +25,8 @@
 	readinessDelay time.Duration
 	record         record.Options
 	recordLimit    int
+	subset         int
+	subsetOther    int
 }
 
 func newEntryCommand() *Command {
@@ -39,6 +42,8 @@
 	command.Settings.Duration(&p.record.Interval, "record-interval", 10*time.Second, 50*time.Millisecond, time.Minute, "how long decisions are gathered before they are stored in the record")
 	command.Settings.Float(&p.record.WritesPerSecond, "record-writes", 100, 0.1, 100000, "the share of the store's writes a second that all entries together use for the record")
 	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what the record may hold in memory while it can't be stored, in bytes")
+	command.Settings.Int(&p.subset, "endpoints", 8, 1, 10000, "how many endpoints of each service this process works with")
+	command.Settings.Int(&p.subsetOther, "endpoints-elsewhere", 2, 0, 10000, "how many of them are kept in other availability zones")
 	command.Run = p.run
 	return command
 }
@@ -58,6 +63,8 @@
 	if err != nil {
 		return err
 	}
+	subset := member.Subset{Self: p.incarnation, Zone: usher.AvailabilityZone(p.zone), Size: p.subset, Elsewhere: min(p.subset, p.subsetOther)}
+	p.config.Choose(subset.Choose)
 	peerAddress := peerListener.Addr().String()
 	if err := p.follow(ctx, link.NewServer(peerListener), peerAddress, ""); err != nil {
 		return err
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -15,7 +15,12 @@
 func (r *RPC) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
 	r.companion.Config.Hear(args.Peer, args.ConfigVersion)
 	if err := r.companion.Keeper.Accept(args.Header.Rank); err != nil {
-		*reply = r.companion.refused(asRefusal(err, usher.OutcomeNotRun))
+		refusal := asRefusal(err, usher.OutcomeNotRun)
+		if args.Header.Key != "" && !args.Header.Idempotent {
+			// The key was not looked for, so nothing is said of it.
+			refusal = refusal.ForAttempt()
+		}
+		*reply = r.companion.refused(refusal)
 		return nil
 	}
 	*reply = r.companion.submit(args)
@@ -54,3 +59,15 @@
 	reply.Status = r.companion.status()
 	return nil
 }
+
+// Ticket issues a ticket.
+func (r *RPC) Ticket(args *wire.TicketArgs, reply *wire.TicketReply) error {
+	*reply = r.companion.ticket(args)
+	return nil
+}
+
+// Ping says which incarnation runs here.
+func (r *RPC) Ping(_ *wire.PingArgs, reply *wire.PingReply) error {
+	reply.Status = r.companion.status()
+	return nil
+}
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -38,6 +38,8 @@
 	copies     usher.Copies
 	// reply is the newest reply of a companion on the request.
 	reply *wire.SubmitReply
+	// keyed is set once refusals speak of the key and not of this attempt.
+	keyed bool
 	// unsure holds the refusals of the attempts whose outcome is unknown.
 	unsure []*usher.Refusal
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 	options  Options
 	peers    *peers
 	ids      idSource
+	views    *views
 	metrics  metrics
 	inflight inflight
 }
@@ -62,6 +63,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		ids:          newIDSource(options.Incarnation),
+		views:        newViews(),
 		metrics: metrics{
 			requests: group.Counter("requests").Add,
 			answered: group.Counter("answered").Add,
