--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -29,6 +29,8 @@
 	running         int
 	waiting         int
 	retention       time.Duration
+	recordSilence   time.Duration
+	recordLimit     int
 	keyRetention    time.Duration
 	journalWrites   int
 	ticketLife      time.Duration
@@ -46,6 +48,8 @@
 	command.Settings.Int(&p.running, "max-running", 32, 1, 4096, "how many requests may be in the endpoint at once")
 	command.Settings.Int(&p.waiting, "max-waiting", 10000, 0, 1000000, "how many requests may wait for the endpoint")
 	command.Settings.Duration(&p.retention, "retention", 10*time.Minute, time.Second, 24*time.Hour, "how long ended requests are remembered")
+	command.Settings.Duration(&p.recordSilence, "record-silence", 30*time.Second, 100*time.Millisecond, time.Hour, "how long an entry may be silent before its part of the record is stored from here; three times the entries' record-interval or more")
+	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what copies for the record may take in memory, in bytes")
 	command.Settings.Duration(&p.keyRetention, "key-retention", 24*time.Hour, time.Minute, 30*24*time.Hour, "how long idempotency keys are remembered where the service declares no time")
 	command.Settings.Int(&p.journalWrites, "journal-writes", 20, 1, 1000, "how many writes a second may go to the journals of this companion")
 	command.Settings.Duration(&p.ticketLife, "ticket-life", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket can be used")
@@ -93,6 +97,9 @@
 		return err
 	}
 	name := usher.EndpointName(p.endpointName)
+	keeper := record.NewKeeper(record.KeeperOptions{
+		Incarnation: p.incarnation, Silence: p.recordSilence, Limit: int64(p.recordLimit),
+	}, p.store, p.log)
 	fence := companion.NewFence(p.store, name, p.incarnation, p.log)
 	beside := companion.New(companion.Options{
 		Endpoint: name, Incarnation: p.incarnation,
@@ -101,16 +108,21 @@
 		Journal: p.book(name), Fence: fence.Current,
 		Config: p.config, Backend: p.backend(),
 		Admission: waiting.New(name, waiting.Options{Running: p.running, Waiting: p.waiting}),
-		Ledger:    ledger.New(p.retention), Recorder: record.NewMemory(recordLimit), Log: p.log,
+		Ledger:    ledger.New(p.retention), Keeper: keeper, Log: p.log,
 	})
 	p.admin.Section("companion", beside.State)
+	p.admin.Section("record", keeper.State)
 	server := link.NewServer(listener)
 	if err := server.Register("Companion", companion.NewRPC(beside)); err != nil {
 		return err
 	}
+	if err := server.Register("Record", record.NewKeeperRPC(keeper)); err != nil {
+		return err
+	}
 	if err := p.follow(ctx, server, listener.Addr().String(), name); err != nil {
 		return err
 	}
+	p.group.Go(func() error { return keeper.Run(ctx) })
 	p.group.Go(func() error { return fence.Run(ctx) })
 	p.group.Go(func() error { return beside.FollowLeaving(ctx) })
 	p.log.Info().Str("listen", listener.Addr().String()).Msg("listening")
@@ -122,6 +134,7 @@
 		limit, stop := context.WithTimeout(ctx, p.drainTimeout)
 		defer stop()
 		drained = beside.Drain(limit)
+		keeper.Close(limit)
 		cancel()
 	}()
 	return errors.Join(p.group.Wait(), drained)
--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -40,9 +40,9 @@
 	Ledger    *ledger.Ledger
 	Journal   *journal.Book
 	// Fence returns the fencing number of this incarnation, 0 when it has none.
-	Fence    func() usher.Fence
-	Recorder usher.Recorder
-	Log      zerolog.Logger
+	Fence  func() usher.Fence
+	Keeper usher.RecordKeeper
+	Log    zerolog.Logger
 }
 
 // Companion is the state of the process. Its exported methods are in rpc.go.
--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -99,7 +99,9 @@
 	if err != nil {
 		refusal := w.failure(ctx, err)
 		w.end(nil, refusal)
-		reader.finish(wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal})
+		event := wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal}
+		w.companion.holdEnd(w.args, &event, reader.size)
+		reader.finish(event)
 		w.cancelInEndpoint()
 		return
 	}
@@ -107,10 +109,12 @@
 	if w.key != nil {
 		w.key.Finish(nil, streamGone())
 	}
-	reader.finish(wire.Event{
+	event := wire.Event{
 		Stream: reader.number, Offset: reader.next, End: wire.EndWhole,
 		Digest: usher.Digest(hex.EncodeToString(reader.digest.Sum(nil))),
-	})
+	}
+	w.companion.holdEnd(w.args, &event, reader.size)
+	reader.finish(event)
 }
 
 // streamReader copies the events of a stream, each offset once and in order.
@@ -118,6 +122,7 @@
 	outlet *outlet
 	number uint64
 	next   uint64
+	size   int64
 	digest hash.Hash
 	slot   usher.Slot
 	last   time.Time
@@ -174,6 +179,7 @@
 	r.last = now
 	r.next++
 	r.digest.Write(event.Data)
+	r.size += int64(len(event.Data))
 	r.count(1)
 	return r.outlet.add(ctx, wire.Event{Stream: r.number, Offset: event.Offset, Data: event.Data})
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -80,10 +80,13 @@
 	args := &wire.SubmitArgs{
 		Caller: e.caller(), Header: accepted.RequestHeader, Remaining: time.Until(accepted.Deadline),
 		Call: accepted.call, MayWait: mayWait, Stream: stream.number,
+		Record: accepted.recordContext(),
 	}
 	reply := &wire.SubmitReply{}
+	accepted.offeredTo(endpoint)
 	err := peer.submit(ctx, stream, args, reply)
 	if err == nil {
+		accepted.reply = reply
 		e.Config.Hear(peer.link.Address(), reply.ConfigVersion)
 		got, final = e.judge(reply, stream)
 	} else {
@@ -116,7 +119,7 @@
 		return false
 	}
 	switch refusal.Kind {
-	case usher.RefusalLeaving, usher.RefusalOverloaded, usher.RefusalEndpointFailed:
+	case usher.RefusalLeaving, usher.RefusalOverloaded, usher.RefusalEndpointFailed, usher.RefusalRecordFull:
 		return true
 	default:
 		return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,7 +62,7 @@
 	e := &Entry{
 		Dependencies: dependencies,
 		options:      options,
-		ids:          newIDSource(),
+		ids:          newIDSource(options.Incarnation),
 		views:        newViews(),
 		metrics: metrics{
 			requests: group.Counter("requests").Add,
