--- a/internal/companion/drain.go
+++ b/internal/companion/drain.go
@@ -131,10 +131,20 @@
 	if leaving {
 		c.drain.start()
 		c.outlets.wakeAll()
+		go c.handOver(context.Background())
 		return
 	}
 	if !c.stopping.Load() {
 		c.drain.stay()
+		c.Journal.Reopen()
+	}
+}
+
+// handOver gives the slots up as soon as their requests have ended, so that
+// callers with new keys need not wait for the end of this process.
+func (c *Companion) handOver(ctx context.Context) {
+	if err := c.Journal.Release(ctx); err != nil {
+		c.Log.Warn().Err(err).Msg("slotsNotReleased")
 	}
 }
 
@@ -153,6 +163,7 @@
 	c.stopping.Store(true)
 	idle := c.drain.start()
 	c.outlets.wakeAll()
+	c.handOver(ctx)
 	select {
 	case <-idle:
 	case <-ctx.Done():
@@ -188,5 +199,7 @@
 		"load":          c.Admission.Report(),
 		"requests":      c.Ledger.Counts(),
 		"leaving":       c.drain.started(),
+		"journal":       c.Journal.State(),
+		"fence":         c.Fence(),
 	}
 }
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"filbertusher/internal/wire"
+	"filbertusher/pkg/usher"
 )
 
 // RPC is the companion as its peers see it; net/rpc calls its methods.
@@ -13,7 +14,17 @@
 // Submit offers a request with its body.
 func (r *RPC) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
 	r.companion.Config.Hear(args.Peer, args.ConfigVersion)
+	if err := r.companion.Keeper.Accept(args.Header.Rank); err != nil {
+		refusal := asRefusal(err, usher.OutcomeNotRun)
+		if args.Header.Key != "" && !args.Header.Idempotent {
+			// The key was not looked for, so nothing is said of it.
+			refusal = refusal.ForAttempt()
+		}
+		*reply = r.companion.refused(refusal)
+		return nil
+	}
 	*reply = r.companion.submit(args)
+	reply.Held = r.companion.hold(args, reply)
 	return nil
 }
 
@@ -25,6 +36,7 @@
 		return nil
 	}
 	*reply = r.companion.outcome(entry)
+	reply.Held = r.companion.Keeper.Holds(args.ID)
 	return nil
 }
 
@@ -48,3 +60,15 @@
 	reply.Status = r.companion.status()
 	return nil
 }
+
+// Ticket issues a ticket.
+func (r *RPC) Ticket(args *wire.TicketArgs, reply *wire.TicketReply) error {
+	*reply = r.companion.ticket(args)
+	return nil
+}
+
+// Ping says which incarnation runs here.
+func (r *RPC) Ping(_ *wire.PingArgs, reply *wire.PingReply) error {
+	reply.Status = r.companion.status()
+	return nil
+}
--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -30,12 +30,12 @@
 		defer w.finished(slot)
 		w.cancelInEndpoint()
 		refusal := w.failure(ctx, err)
-		w.entry.Finish(nil, refusal)
+		w.end(nil, refusal)
 		return c.refused(refusal)
 	}
 	if stream == nil {
 		defer w.finished(slot)
-		w.entry.Finish(answer, nil)
+		w.end(answer, nil)
 		return wire.SubmitReply{Status: c.status(), State: wire.StateAnswered, Answer: answer}
 	}
 	w.entry.BeginStream()
@@ -48,7 +48,7 @@
 // events instead of being sent the request a second time.
 func (w *work) openStream(ctx context.Context) (usher.EventStream, *usher.Answer, error) {
 	c := w.companion
-	stream, answer, err := c.Backend.Stream(ctx, w.args.Header.ID, c.options.Fence, &w.args.Call)
+	stream, answer, err := c.Backend.Stream(ctx, w.args.Header.ID, c.Fence(), &w.args.Call)
 	var broken *usher.BackendError
 	if !errors.As(err, &broken) || !broken.Reached {
 		return stream, answer, err
@@ -97,16 +97,23 @@
 func (w *work) endStream(ctx context.Context, reader *streamReader, err error) {
 	if err != nil {
 		refusal := w.failure(ctx, err)
-		w.entry.Finish(nil, refusal)
-		reader.finish(wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal})
+		w.end(nil, refusal)
+		event := wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal}
+		w.companion.holdEnd(w.args, &event, reader.size)
+		reader.finish(event)
 		w.cancelInEndpoint()
 		return
 	}
 	w.entry.Finish(&usher.Answer{}, nil)
-	reader.finish(wire.Event{
+	if w.key != nil {
+		w.key.Finish(nil, streamGone())
+	}
+	event := wire.Event{
 		Stream: reader.number, Offset: reader.next, End: wire.EndWhole,
 		Digest: usher.Digest(hex.EncodeToString(reader.digest.Sum(nil))),
-	})
+	}
+	w.companion.holdEnd(w.args, &event, reader.size)
+	reader.finish(event)
 }
 
 // streamReader copies the events of a stream, each offset once and in order.
@@ -114,6 +121,7 @@
 	outlet *outlet
 	number uint64
 	next   uint64
+	size   int64
 	digest hash.Hash
 	slot   usher.Slot
 	last   time.Time
@@ -169,5 +177,6 @@
 	r.last = now
 	r.next++
 	r.digest.Write(event.Data)
+	r.size += int64(len(event.Data))
 	return r.outlet.add(ctx, wire.Event{Stream: r.number, Offset: event.Offset, Data: event.Data})
 }
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
@@ -21,6 +22,16 @@
 	args      *wire.SubmitArgs
 	entry     *ledger.Entry
 	cancel    context.CancelFunc
+	// key is the entry of the request's key; nil for requests that may repeat.
+	key *journal.Entry
+}
+
+// end keeps what came of the request under its id and under its key.
+func (w *work) end(answer *usher.Answer, refusal *usher.Refusal) {
+	w.entry.Finish(answer, refusal)
+	if w.key != nil {
+		w.key.Finish(answer, refusal)
+	}
 }
 
 // admit returns a slot, or a refusal, or neither when there is no room and the
@@ -49,6 +60,9 @@
 	c := w.companion
 	if !w.entry.Dispatch() {
 		w.finished(slot)
+		if w.key != nil {
+			w.key.Finish(nil, usher.NewAttemptRefusal(usher.RefusalCancelled, "the request was withdrawn"))
+		}
 		return c.outcome(w.entry)
 	}
 	c.metrics.dispatched(1)
@@ -57,15 +71,15 @@
 	}
 	defer w.finished(slot)
 	started := time.Now()
-	answer, err := c.Backend.Call(ctx, w.args.Header.ID, c.options.Fence, &w.args.Call)
+	answer, err := c.Backend.Call(ctx, w.args.Header.ID, c.Fence(), &w.args.Call)
 	if err != nil {
 		w.cancelInEndpoint()
 		refusal := w.failure(ctx, err)
-		w.entry.Finish(nil, refusal)
+		w.end(nil, refusal)
 		return c.refused(refusal)
 	}
 	observe(slot, time.Since(started), answer.Usage)
-	w.entry.Finish(answer, nil)
+	w.end(answer, nil)
 	return wire.SubmitReply{Status: c.status(), State: wire.StateAnswered, Answer: answer}
 }
 
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -19,38 +19,52 @@
 // refuse answers a request that was refused before it had an id.
 func (e *Entry) refuse(w http.ResponseWriter, refusal *usher.Refusal) {
 	e.metrics.refused(1)
+	e.Recorder.Count(refusal.Kind)
 	writeRefusal(w, refusal)
 	e.Log.Info().Str("refusal", string(refusal.Kind)).Str("outcome", string(refusal.Outcome)).Msg("requestRefused")
 }
 
-// end delivers a whole answer or a refusal, and records the decision.
+// end records the decision, then delivers a whole answer or a refusal. A
+// request that is nil was refused before its caller was known.
 func (e *Entry) end(w http.ResponseWriter, accepted *request, answer *usher.Answer, refusal *usher.Refusal) {
+	if accepted == nil {
+		e.refuse(w, refusal)
+		return
+	}
 	w.Header().Set(headerRequestID, string(accepted.ID))
 	decision := accepted.decision()
 	if refusal != nil {
 		refusal = accepted.honest(refusal).WithRequestID(accepted.ID)
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
+		accepted.copies.Same = accepted.heldAs(nil, refusal)
+		e.finish(decision, accepted.copies)
 		writeRefusal(w, refusal)
-	} else {
-		decision.Outcome = usher.OutcomeRan
-		decision.AnswerSHA256 = string(answer.Digest())
-		decision.AnswerBytes = int64(len(answer.Body))
-		writeAnswer(w, answer)
+		return
 	}
-	e.finish(decision)
+	decision.Outcome, decision.Status = usher.OutcomeRan, answer.Status
+	decision.AnswerSHA256 = string(answer.Digest())
+	decision.AnswerBytes = int64(len(answer.Body))
+	accepted.copies.Same = accepted.heldAs(answer, nil)
+	e.finish(decision, accepted.copies)
+	writeAnswer(w, answer)
 }
 
 // honest keeps a refusal from promising "not run" when an earlier attempt of
-// the request may have run: that attempt's refusal is the one to tell.
+// the request may have run: that attempt's refusal is the one to tell. One
+// that was made without asking for the key speaks of this attempt only.
 func (r *request) honest(refusal *usher.Refusal) *usher.Refusal {
+	if r.Key != "" && !r.Idempotent && !r.keyed {
+		return refusal.ForAttempt()
+	}
 	if len(r.unsure) == 0 || refusal.Outcome != usher.OutcomeNotRun {
 		return refusal
 	}
 	return r.unsure[len(r.unsure)-1]
 }
 
-// finish counts, records and logs a decision.
-func (e *Entry) finish(decision usher.Decision) {
+// finish counts, records and logs a decision. It does not use the request's
+// context, because a caller that left must not keep its request unrecorded.
+func (e *Entry) finish(decision usher.Decision, copies usher.Copies) {
 	switch {
 	case decision.Outcome == usher.OutcomeUnknown:
 		e.metrics.unknown(1)
@@ -59,7 +73,11 @@
 	default:
 		e.metrics.answered(1)
 	}
-	e.Recorder.Record(decision)
+	if decision.Refusal == usher.RefusalRecordFull {
+		e.Recorder.Count(decision.Refusal)
+	} else {
+		e.Recorder.Record(context.Background(), decision, copies)
+	}
 	e.Log.Info().
 		Str("requestId", string(decision.ID)).
 		Str("workspace", string(decision.Workspace)).
@@ -75,11 +93,11 @@
 
 func (r *request) decision() usher.Decision {
 	decision := usher.Decision{
-		Time: r.started, ID: r.ID, Workspace: r.Workspace, TokenName: r.tokenName,
-		Service: r.Service, Tier: r.Tier, Key: string(r.Key),
-		ConfigVersion: r.snapshot.Version, Candidates: r.candidates, Endpoint: r.endpoint,
+		Time: r.recordedTime(), ID: r.ID, Workspace: r.Workspace, TokenName: r.tokenName,
+		View: usher.ViewEntry, Service: r.Service, Tier: r.Tier, Key: string(r.Key),
+		ConfigVersion: r.snapshot.Version, Candidates: r.recordedCandidates(), Endpoint: r.endpoint,
 		Attempts: r.Attempt, RequestSHA256: string(r.Digest),
-		Duration: usher.Duration(time.Since(r.started)),
+		Duration: usher.Duration(time.Since(r.started).Round(recordPrecision)),
 	}
 	if r.snapshot.InForce != nil {
 		decision.Preset = r.snapshot.InForce.Name
@@ -141,12 +159,12 @@
 			e.end(w, accepted, nil, refusal)
 			return
 		case refusal != nil:
-			e.finishStream(accepted, out, refusal)
+			e.finishStream(accepted, out, end.Held && refusal == end.Refusal, refusal)
 			out.abort(refusal.WithRequestID(accepted.ID))
 		case end.End == wire.EndWhole:
+			e.finishStream(accepted, out, end.Held, nil)
 			out.write([]byte(doneEvent))
 			out.flush()
-			e.finishStream(accepted, out, nil)
 			return
 		default:
 			out.flush()
@@ -167,8 +185,9 @@
 	return events, refusal
 }
 
-// finishStream records how a stream ended.
-func (e *Entry) finishStream(accepted *request, out *streamWriter, refusal *usher.Refusal) {
+// finishStream records how a stream ended. held says that the companion holds
+// a copy of this end.
+func (e *Entry) finishStream(accepted *request, out *streamWriter, held bool, refusal *usher.Refusal) {
 	decision := accepted.decision()
 	decision.AnswerBytes = out.written
 	if refusal != nil {
@@ -177,5 +196,6 @@
 		decision.Outcome = usher.OutcomeRan
 		decision.AnswerSHA256 = string(out.sum())
 	}
-	e.finish(decision)
+	accepted.copies.Same = held
+	e.finish(decision, accepted.copies)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 	options  Options
 	peers    *peers
 	ids      idSource
+	views    *views
 	metrics  metrics
 	inflight inflight
 }
@@ -61,7 +62,8 @@
 	e := &Entry{
 		Dependencies: dependencies,
 		options:      options,
-		ids:          newIDSource(),
+		ids:          newIDSource(options.Incarnation),
+		views:        newViews(),
 		metrics: metrics{
 			requests: group.Counter("requests").Add,
 			answered: group.Counter("answered").Add,
--- a/internal/standin/fleet/whole.go
+++ b/internal/standin/fleet/whole.go
@@ -121,7 +121,11 @@
 	if err != nil {
 		return err
 	}
-	member, err := w.Companion(w.Store.Address, endpoint, behind, kind, plan.CompanionArgs...)
+	store, err := plan.via("store-of-"+string(endpoint.Name), w.Store.Address)
+	if err != nil {
+		return err
+	}
+	member, err := w.Companion(store, endpoint, behind, kind, plan.CompanionArgs...)
 	if err != nil {
 		return err
 	}
