Refuse bad input with types, also where net/http answers by itself

Cause: callers with a malformed, too large or slow header got text or nothing; a refused caller that never sent its body waited for ever (found by the first run of the scripts: net/http reads the body before it sends the response); invalid UTF-8, NaN timeouts and escaped paths went through unchecked. Ruled out: reading headers ourselves; a proxy in front. Change: the callers' connection puts typed refusals in place of net/http's own errors and bounds the discarding of a body; new type headerTooLarge (431).

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -118,17 +118,29 @@
 	if asked == "" {
 		return nil
 	}
-	timeout, err := time.ParseDuration(asked)
-	if seconds, errSeconds := strconv.ParseFloat(asked, 64); errSeconds == nil {
-		timeout, err = time.Duration(seconds*float64(time.Second)), nil
-	}
-	if err != nil || timeout <= 0 || timeout > most {
+	timeout, ok := parseTimeout(asked, most)
+	if !ok {
 		return usher.NewRefusal(usher.RefusalBadRequest, headerTimeout+" has to be a duration above 0 and up to "+most.String())
 	}
 	r.Deadline = r.started.Add(timeout)
 	return nil
 }
 
+// parseTimeout reads "2", "0.5" or "500ms". ok is false for what is no duration
+// or not above 0 and up to most.
+func parseTimeout(text string, most time.Duration) (timeout time.Duration, ok bool) {
+	if seconds, err := strconv.ParseFloat(text, 64); err == nil {
+		// The comparison is made before the conversion, which would overflow.
+		if !(seconds > 0 && seconds <= most.Seconds()) {
+			return 0, false
+		}
+		timeout = time.Duration(seconds * float64(time.Second))
+	} else if timeout, err = time.ParseDuration(text); err != nil {
+		return 0, false
+	}
+	return timeout, timeout > 0 && timeout <= most
+}
+
 // readBody reads the caller's body within the bounds of size and time.
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *usher.Refusal) {
 	if r.ContentLength > e.options.MaxBody {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -2,8 +2,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
+	"net/url"
 	"sort"
+	"strconv"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -37,8 +42,7 @@
 // chat serves model questions.
 func (e *Entry) chat(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
-		w.Header().Set("Allow", http.MethodPost)
-		e.refuse(w, usher.NewRefusal(usher.RefusalMethodNotAllowed, "use POST"))
+		e.methodNotAllowed(http.MethodPost)(w, r)
 		return
 	}
 	accepted, refusal := e.accept(r)
@@ -57,17 +61,42 @@
 	e.handle(w, r, accepted)
 }
 
-// readChat fills in what the body says.
-func (r *request) readChat(body []byte) *usher.Refusal {
+// maxAnswerTokens bounds what a caller may ask for, so that estimates do not
+// overflow.
+const maxAnswerTokens usher.Tokens = 1 << 24
+
+// parseChat reads the body of a chat completions request.
+func parseChat(body []byte) (*chatBody, *usher.Refusal) {
+	if !utf8.Valid(body) {
+		return nil, usher.NewRefusal(usher.RefusalBadRequest, "the body is not valid UTF-8")
+	}
 	var chat chatBody
 	if err := json.Unmarshal(body, &chat); err != nil {
-		return usher.NewRefusal(usher.RefusalBadRequest, "the body is no chat completions request: "+err.Error())
+		return nil, usher.NewRefusal(usher.RefusalBadRequest, "the body is no chat completions request: "+explain(err))
 	}
 	if len(chat.Messages) == 0 {
-		return usher.NewRefusal(usher.RefusalBadRequest, "messages must not be empty")
+		return nil, usher.NewRefusal(usher.RefusalBadRequest, "messages must not be empty")
+	}
+	if chat.MaxTokens < 0 || chat.MaxTokens > maxAnswerTokens {
+		return nil, usher.NewRefusal(usher.RefusalBadRequest, "max_tokens must be from 0 to "+strconv.Itoa(int(maxAnswerTokens)))
+	}
+	return &chat, nil
+}
+
+// explain describes a decoding error without the names of our own types.
+func explain(err error) string {
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return "field " + wrong.Field + " must not be " + wrong.Value
 	}
-	if chat.MaxTokens < 0 {
-		return usher.NewRefusal(usher.RefusalBadRequest, "max_tokens must not be negative")
+	return err.Error()
+}
+
+// readChat fills in what the body says.
+func (r *request) readChat(body []byte) *usher.Refusal {
+	chat, refusal := parseChat(body)
+	if refusal != nil {
+		return refusal
 	}
 	service, ok := r.snapshot.Models[chat.Model]
 	if !ok {
@@ -136,10 +165,7 @@
 		e.end(w, accepted, nil, refusal)
 		return
 	}
-	path := "/" + r.PathValue("path")
-	if r.URL.RawQuery != "" {
-		path += "?" + r.URL.RawQuery
-	}
+	path := endpointPath(r.URL)
 	accepted.use(service, usher.Call{
 		Method: r.Method, Path: path, ContentType: r.Header.Get("Content-Type"), Key: accepted.Key, Body: body,
 	})
@@ -148,6 +174,18 @@
 	e.handle(w, r, accepted)
 }
 
+// endpointPath is the path and query that the endpoint gets, escaped as the
+// caller sent them.
+//
+//	/v1/services/orders/stock/a%2Fb?x=1  ->  /stock/a%2Fb?x=1
+func endpointPath(from *url.URL) string {
+	_, path, _ := strings.Cut(strings.TrimPrefix(from.EscapedPath(), pathServices), "/")
+	if from.RawQuery == "" {
+		return "/" + path
+	}
+	return "/" + path + "?" + from.RawQuery
+}
+
 // isSafe says whether a method only reads, which HTTP calls safe.
 func isSafe(method string) bool {
 	return method == http.MethodGet || method == http.MethodHead || method == http.MethodOptions
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -29,6 +29,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(pathChat, e.chat)
 	mux.HandleFunc("GET "+pathModels, e.listModels)
+	mux.HandleFunc(pathModels, e.methodNotAllowed(http.MethodGet))
 	mux.HandleFunc("POST "+pathTickets, e.issueTicket)
 	mux.HandleFunc(pathServices+"{service}/{path...}", e.plain)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
@@ -37,11 +38,19 @@
 	return mux
 }
 
+func (e *Entry) methodNotAllowed(allowed string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Allow", allowed)
+		e.refuse(w, usher.NewRefusal(usher.RefusalMethodNotAllowed, "use "+allowed))
+	}
+}
+
 // Serve answers callers on listener until ctx ends, then finishes the requests
 // in flight for at most grace.
 func (e *Entry) Serve(ctx context.Context, listener net.Listener, grace time.Duration) error {
 	server := &http.Server{
-		Handler:           e.Handler(),
+		Handler:           markHandling(e.Handler()),
+		ConnContext:       withConn,
 		ReadHeaderTimeout: e.options.BodyTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -57,7 +66,7 @@
 		stopped <- err
 	})
 	defer stop()
-	err := server.Serve(listener)
+	err := server.Serve(callerListener{listener})
 	if ctx.Err() != nil {
 		return <-stopped
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -191,7 +191,7 @@
 // CheckFlags refuses arguments that look like flags but belong to none of the
 // commands in use, because the flag library passes over them.
 func CheckFlags(args []string, commands ...*flaggy.Subcommand) error {
-	for _, arg := range args {
+	for i, arg := range args {
 		if arg == "--" {
 			return nil
 		}
@@ -199,10 +199,15 @@
 		if !strings.HasPrefix(arg, "-") || isNumber(arg) {
 			continue
 		}
-		name, value, _ := strings.Cut(name, "=")
-		if !flagExists(name, commands) {
-			return &Error{Setting: arg[:len(arg)-len(name)-len(value)] + name, Value: value, Allowed: "only flags listed by --help"}
+		name, value, joined := strings.Cut(name, "=")
+		if flagExists(name, commands) {
+			continue
+		}
+		if !joined && i+1 < len(args) && !strings.HasPrefix(args[i+1], "-") {
+			value = args[i+1]
 		}
+		setting, _, _ := strings.Cut(arg, "=")
+		return &Error{Setting: setting, Value: value, Allowed: "only flags listed by --help"}
 	}
 	return nil
 }
--- a/pkg/usher/errors.go
+++ b/pkg/usher/errors.go
@@ -26,6 +26,7 @@
 const (
 	RefusalBadRequest       RefusalKind = "badRequest"
 	RefusalTooLarge         RefusalKind = "tooLarge"
+	RefusalHeaderTooLarge   RefusalKind = "headerTooLarge"
 	RefusalTooSlow          RefusalKind = "requestTimeout"
 	RefusalUnauthorized     RefusalKind = "unauthorized"
 	RefusalForbiddenTier    RefusalKind = "tierForbidden"
@@ -58,6 +59,7 @@
 var statusByKind = map[RefusalKind]int{
 	RefusalBadRequest:       http.StatusBadRequest,
 	RefusalTooLarge:         http.StatusRequestEntityTooLarge,
+	RefusalHeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 	RefusalTooSlow:          http.StatusRequestTimeout,
 	RefusalUnauthorized:     http.StatusUnauthorized,
 	RefusalForbiddenTier:    http.StatusForbidden,
--- /dev/null
+++ b/test/path/commandline_test.go
@@ -0,0 +1,52 @@
+package path_test
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestCommandLine runs the programs with each line of arguments and prints the
+// exit status and what they wrote. "env" arguments are environment variables.
+func TestCommandLine(t *testing.T) {
+	datadriven.Walk(t, "testdata/commandline", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			binary := binaries.Product
+			if d.Cmd == "standin" {
+				binary = binaries.Standin
+			}
+			var out bytes.Buffer
+			command := exec.CommandContext(t.Context(), binary, strings.Fields(d.Input)...)
+			command.Stdout, command.Stderr = &out, &out
+			command.Env = append(os.Environ(), environment(d)...)
+			status := 0
+			var exit *exec.ExitError
+			if err := command.Run(); errors.As(err, &exit) {
+				status = exit.ExitCode()
+			} else if err != nil {
+				t.Fatal(err)
+			}
+			text := out.String()
+			if d.HasArg("first") {
+				text, _, _ = strings.Cut(strings.TrimSpace(text), "\n")
+			}
+			return "exit " + strconv.Itoa(status) + "\n" + strings.TrimSpace(text) + "\n"
+		})
+	})
+}
+
+func environment(d *datadriven.TestData) []string {
+	var env []string
+	for _, arg := range d.CmdArgs {
+		if arg.Key == "env" {
+			env = append(env, arg.Vals[0]+"="+arg.Vals[1])
+		}
+	}
+	return env
+}
--- /dev/null
+++ b/test/path/input_test.go
@@ -0,0 +1,115 @@
+package path_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
+
+	"filbertusher/internal/standin/engine"
+	"filbertusher/internal/standin/fleet"
+)
+
+// hangTimeout ends a request that is never answered.
+const hangTimeout = 15 * time.Second
+
+// TestBadInput sends what no well-behaved caller sends, byte by byte, and
+// checks that every refusal comes before any work is done.
+func TestBadInput(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	whole, err := fleet.NewWhole(ctx, binaries, fleet.Plan{
+		Entries: 1, Engines: [][]string{nil}, Desks: 1,
+		EntryArgs: []string{"--body-timeout", "300ms", "--max-body", "20000"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer whole.Close()
+	datadriven.Walk(t, "testdata/input", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return sendRaw(ctx, t, whole.Entries[0].Address, d)
+		})
+	})
+	var totals engine.Totals
+	if err := whole.Engines[0].Inspect(ctx, "totals", &totals); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(engine.Totals{}, totals); diff != "" {
+		t.Errorf("the engine did work:\n%s", diff)
+	}
+	executions := map[string]int{}
+	if err := whole.Desks[0].Inspect(ctx, "executions", &executions); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(map[string]int{}, executions); diff != "" {
+		t.Errorf("the desk did work:\n%s", diff)
+	}
+}
+
+// sendRaw sends the input with the line ends of HTTP and prints the response.
+// TOKEN, LENGTH, A(n), DEEP(n) and BYTE(n) stand for a bearer token, the length
+// of the body, n letters, n opening brackets and one byte. With "close" the caller sends no more after
+// it; otherwise it waits for the response with the connection open.
+func sendRaw(ctx context.Context, t *testing.T, address string, d *datadriven.TestData) string {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(hangTimeout))
+	head, body, hasBody := strings.Cut(d.Input, "\nBODY ")
+	text := strings.ReplaceAll(head, "\n", "\r\n")
+	if !d.HasArg("unfinished") {
+		text += "\r\n\r\n"
+	}
+	text = expand(t, strings.ReplaceAll(text, "TOKEN", fleet.TokenOf(fleet.Regenfass)))
+	if hasBody {
+		body = expand(t, body)
+		text = strings.ReplaceAll(text, "LENGTH", strconv.Itoa(len(body))) + body
+	}
+	// The entry may refuse and close before it has read everything.
+	_, _ = conn.Write([]byte(text))
+	if d.HasArg("close") {
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return "no response: " + err.Error() + "\n"
+	}
+	defer response.Body.Close()
+	answer, _ := io.ReadAll(response.Body)
+	return strconv.Itoa(response.StatusCode) + " " + response.Header.Get("Content-Type") + "\n" + string(mask(answer)) + "\n"
+}
+
+// expand replaces each NAME(n) in the text.
+func expand(t *testing.T, text string) string {
+	for name, fill := range map[string]func(n int) string{
+		"A":    func(n int) string { return strings.Repeat("a", n) },
+		"DEEP": func(n int) string { return strings.Repeat("[", n) },
+		"BYTE": func(n int) string { return string([]byte{byte(n)}) },
+	} {
+		for {
+			before, rest, found := strings.Cut(text, name+"(")
+			if !found {
+				break
+			}
+			digits, after, _ := strings.Cut(rest, ")")
+			n, err := strconv.Atoi(digits)
+			if err != nil {
+				t.Fatal(err)
+			}
+			text = before + fill(n) + after
+		}
+	}
+	return text
+}
