--- a/internal/config/head.go
+++ b/internal/config/head.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"time"
 
 	"filbertusher/pkg/usher"
@@ -18,9 +20,17 @@
 // a write whose answer was lost can be recognised when it is read back.
 type ChangeID string
 
+// NewChangeID returns an id of 64 random bits. It is short because a head,
+// which holds many of them, travels to every process with every change.
+func NewChangeID() ChangeID {
+	var random [8]byte
+	_, _ = rand.Read(random[:])
+	return ChangeID(hex.EncodeToString(random[:]))
+}
+
 const (
 	// maxLineage bounds the ids of earlier changes in a head.
-	maxLineage = 128
+	maxLineage = 32
 	// maxListed bounds the keys that a head lists as changed.
 	maxListed = 64
 	// maxRelays bounds the addresses that a head gives to new processes.
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -176,7 +178,7 @@
 		return nil
 	}
 	key := prefix + usher.ObjectKey(digest)
-	object, err := l.store.Get(ctx, key)
+	object, err := getPart(ctx, l.store, key)
 	if err != nil {
 		return err
 	}
@@ -185,3 +187,24 @@
 	}
 	return json.Unmarshal(object.Value, into)
 }
+
+const (
+	// readAttempts is how often the read of a part is tried. A whole load makes
+	// hundreds of reads, of which some may meet the store's limit on calls.
+	readAttempts = 6
+	// readDelay is about the pause before the second try; it doubles.
+	readDelay = 100 * time.Millisecond
+)
+
+func getPart(ctx context.Context, store usher.Store, key usher.ObjectKey) (usher.Object, error) {
+	delay := readDelay
+	for attempt := 1; ; attempt++ {
+		object, err := store.Get(ctx, key)
+		var unavailable *usher.UnavailableError
+		if !errors.As(err, &unavailable) || attempt == readAttempts || ctx.Err() != nil {
+			return object, err
+		}
+		pause(ctx, delay/2+rand.N(delay))
+		delay *= 2
+	}
+}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"filbertusher/internal/telemetry"
 )
 
 const (
@@ -15,6 +17,14 @@
 	writeChunk = 256 << 10
 )
 
+// traffic counts the bytes of all links of the process, both ways, so that
+// what it spends on messages between processes shows in its metrics.
+var (
+	traffic  = telemetry.NewMetrics("link")
+	bytesIn  = traffic.Counter("bytesIn")
+	bytesOut = traffic.Counter("bytesOut")
+)
+
 // progressConn is a connection whose writes fail when the peer stops to read.
 // It is used on both sides of a link.
 type progressConn struct{ net.Conn }
@@ -28,9 +38,17 @@
 			return written, err
 		}
 		n, err := c.Conn.Write(chunk)
+		bytesOut.Add(int64(n))
 		written += n
 		if err != nil || written == len(data) {
 			return written, err
 		}
 	}
 }
+
+// Read implements net.Conn.
+func (c progressConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	bytesIn.Add(int64(n))
+	return n, err
+}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -33,7 +33,7 @@
 // the earlier one and checked again.
 func (o *Operator) Apply(ctx context.Context, change Change) (*config.Head, error) {
 	if change.ID == "" {
-		change.ID = newChangeID()
+		change.ID = config.NewChangeID()
 	}
 	base, err := o.base(ctx, change.Expect)
 	if err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,10 +5,9 @@
 
 import (
 	"strings"
+	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
-
 	"filbertusher/internal/config"
 	"filbertusher/pkg/usher"
 )
@@ -17,11 +16,16 @@
 type Operator struct {
 	store  usher.Store
 	author string
+	// known is the last configuration that was read. A later read fetches only
+	// what differs from it.
+	known atomic.Pointer[config.Snapshot]
 }
 
 // New returns an operator; author goes into the history of every change.
 func New(store usher.Store, author string) *Operator {
-	return &Operator{store: store, author: author}
+	o := &Operator{store: store, author: author}
+	o.known.Store(config.Empty())
+	return o
 }
 
 // Change is what an operator wants to be different.
@@ -45,8 +49,6 @@
 	return keys
 }
 
-func newChangeID() config.ChangeID { return config.ChangeID(uuid.NewString()) }
-
 // ConflictError is returned when somebody else has changed the same objects.
 // It shows both changes.
 type ConflictError struct {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -47,7 +47,7 @@
 	response.Body.Close()
 }
 
-var masked = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}|\d{4}-\d\d-\d\dT[0-9:]+Z`)
+var masked = regexp.MustCompile(`\b[0-9a-f]{16}\b|\d{4}-\d\d-\d\dT[0-9:]+Z`)
 
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -19,7 +19,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.Load(ctx, o.store, head, config.Empty())
+	return o.load(ctx, head)
+}
+
+// load reads what differs between the last known configuration and a head.
+func (o *Operator) load(ctx context.Context, head *config.Head) (*config.Snapshot, error) {
+	snapshot, err := config.Load(ctx, o.store, head, o.known.Load())
+	if err == nil {
+		o.known.Store(snapshot)
+	}
+	return snapshot, err
 }
 
 // At returns the configuration as it was at a version.
@@ -33,7 +42,7 @@
 			return nil, err
 		}
 	}
-	return config.Load(ctx, o.store, head, config.Empty())
+	return o.load(ctx, head)
 }
 
 // History returns the newest accepted changes, the newest first.
--- a/internal/spread/repair.go
+++ b/internal/spread/repair.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/google/uuid"
-
 	"filbertusher/internal/config"
 	"filbertusher/pkg/usher"
 )
@@ -83,7 +81,7 @@
 // history, because a configuration that does not fit together can't be in force.
 func mergeOnto(current, base, theirs *config.Snapshot) (*config.Snapshot, error) {
 	draft := config.Head{
-		ID: config.ChangeID(uuid.NewString()), Author: repairAuthor, Time: time.Now().UTC(),
+		ID: config.NewChangeID(), Author: repairAuthor, Time: time.Now().UTC(),
 		Note: "merge of change " + string(theirs.Head.ID) + " after the store lost history",
 	}
 	changed, deleted := config.Difference(base, theirs)
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"filbertusher/internal/config"
@@ -22,21 +23,35 @@
 )
 
 // bootstrap finds a first configuration: from seeds, from the relays that the
-// head names, and from the store itself only when no peer answers.
+// head names, and from the store itself only when no peer has one. When a whole
+// fleet starts at once, the first few relays load it from the store and the
+// others find it there; hundreds of processes that each read hundreds of parts
+// would hold the store up for minutes.
 func (s *Spread) bootstrap(ctx context.Context) {
 	delay := firstRetry
-	for ctx.Err() == nil && s.holder.Current().Version == 0 {
-		if s.askSeeds(ctx, s.self.Seeds) {
-			return
-		}
-		if s.bootstrapFromStore(ctx) == nil {
-			return
+	for round := 0; ctx.Err() == nil && s.holder.Current().Version == 0; round++ {
+		if s.askSeeds(ctx, s.self.Seeds) || s.bootstrapFromStore(ctx, round) == nil {
+			continue
 		}
 		s.awaitRumour(ctx, jittered(delay))
 		delay = min(2*delay, maxRetry)
 	}
 }
 
+const (
+	// firstRelays is how many relays load the configuration at once.
+	firstRelays = 4
+	// patientRounds is how often other processes ask the relays before they load
+	// it themselves.
+	patientRounds = 6
+)
+
+// NoPeerError is returned while no peer has a configuration yet.
+type NoPeerError struct{}
+
+// Error implements error.
+func (*NoPeerError) Error() string { return "no peer has the configuration yet" }
+
 // awaitRumour pauses before the next try, or asks the peer that was heard of.
 func (s *Spread) awaitRumour(ctx context.Context, delay time.Duration) {
 	timer := time.NewTimer(delay)
@@ -59,18 +74,25 @@
 	return false
 }
 
-// bootstrapFromStore reads the head. A small configuration is read whole; for
-// a large one the relays are asked, who have it at hand.
-func (s *Spread) bootstrapFromStore(ctx context.Context) error {
+// bootstrapFromStore reads the head, which costs the store one call, and finds
+// the rest at a relay.
+func (s *Spread) bootstrapFromStore(ctx context.Context, round int) error {
 	head, _, err := config.LoadHead(ctx, s.store)
 	s.metrics.storeReads(1)
 	if err != nil {
 		s.log.Warn().Err(err).Msg("storeUnavailable")
 		return err
 	}
-	if head.Version == 0 || s.askSeeds(ctx, shuffled(head.Relays)) {
+	if head.Version == 0 {
+		return &NoPeerError{}
+	}
+	first := slices.Contains(head.Relays[:min(firstRelays, len(head.Relays))], s.self.Address)
+	if !first && s.askSeeds(ctx, shuffled(head.Relays)) {
 		return nil
 	}
+	if !first && len(head.Relays) > 0 && round < patientRounds {
+		return &NoPeerError{}
+	}
 	return s.load(ctx, s.holder.Current(), head)
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -9,6 +9,9 @@
 	"github.com/rs/zerolog"
 )
 
+// Events of one burst have to be told apart by their times.
+func init() { zerolog.TimeFieldFormat = time.RFC3339Nano }
+
 // NewLogger returns a logger that writes one line of key=value pairs for each
 // event, beginning with time, level and event.
 func NewLogger(out io.Writer, level zerolog.Level) zerolog.Logger {
