--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -57,6 +57,7 @@
 		newEntryCommand(), newCompanionCommand(), newDumpCommand(),
 		newCheckCommand(), newDiffCommand(), newGetCommand(), newHistoryCommand(),
 		newApplyCommand(), newRollbackCommand(), newPresetCommand(), newLeaveCommand(), newStopCommand(),
+		newRecordCommand(),
 	}
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -154,7 +154,13 @@
 
 // submit offers a request. The stream notes which incarnation it was sent to.
 func (p *peer) submit(ctx context.Context, stream *incoming, args *wire.SubmitArgs, reply *wire.SubmitReply) error {
-	now, err := p.await(ctx, args.MayWait)
+	return p.submitWith(ctx, args.MayWait, stream, args, reply)
+}
+
+// submitWith is submit for callers that say themselves whether they wait for a
+// peer that is out of reach.
+func (p *peer) submitWith(ctx context.Context, patient bool, stream *incoming, args *wire.SubmitArgs, reply *wire.SubmitReply) error {
+	now, err := p.await(ctx, patient)
 	if err != nil {
 		return err
 	}
