--- a/internal/standin/commands/scale.go
+++ b/internal/standin/commands/scale.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"os"
 	"strconv"
@@ -36,11 +37,9 @@
 			return err
 		}
 		results, err := runSizes(ctx, fleet.Binaries{Product: binary, Standin: self}, plan, sizes)
-		if err != nil {
-			return err
-		}
+		// A run that failed does not take the others with it.
 		scale.Report(out, results)
-		return writeResults(output, results)
+		return errors.Join(err, writeResults(output, results))
 	}
 	return c
 }
@@ -60,7 +59,7 @@
 		plan.Companions = nodes - plan.Entries
 		result, err := scale.Run(ctx, binaries, plan)
 		if err != nil {
-			return nil, err
+			return results, err
 		}
 		results = append(results, result)
 	}
--- a/internal/standin/scale/report.go
+++ b/internal/standin/scale/report.go
@@ -48,6 +48,9 @@
 // reportFits prints straight lines through the results that differ in nothing
 // but the number of nodes.
 func reportFits(out io.Writer, results []*Result) {
+	if len(results) == 0 {
+		return
+	}
 	same := make([]*Result, 0, len(results))
 	for _, r := range results {
 		if r.Workspaces == results[0].Workspaces && r.Rate == results[0].Rate {
--- a/internal/standin/scale/scale.go
+++ b/internal/standin/scale/scale.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"strconv"
@@ -147,26 +148,37 @@
 	}
 }
 
-// freeAddresses returns addresses that were free a moment ago.
+// freeAddresses returns addresses that nothing listens on. Each is an address of
+// its own within the loopback network, because the ports of 127.0.0.1 are also
+// given out to connections, and one may be taken before it is used.
 func freeAddresses(count int) ([]string, error) {
-	var listeners []net.Listener
+	const perNetwork, port = 250, ":9090"
+	network := "127." + strconv.Itoa(2+rand.IntN(250)) + "."
 	var addresses []string
-	defer func() {
-		for _, listener := range listeners {
-			_ = listener.Close()
-		}
-	}()
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for number := 0; len(addresses) < count && number < 250*perNetwork; number++ {
+		address := network + strconv.Itoa(number/perNetwork) + "." + strconv.Itoa(1+number%perNetwork) + port
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
+		_ = listener.Close()
+		addresses = append(addresses, address)
+	}
+	if len(addresses) < count {
+		return nil, &NoAddressError{Wanted: count, Found: len(addresses)}
 	}
 	return addresses, nil
 }
 
+// NoAddressError is returned when the loopback network has too few free
+// addresses.
+type NoAddressError struct{ Wanted, Found int }
+
+// Error implements error.
+func (e *NoAddressError) Error() string {
+	return "only " + strconv.Itoa(e.Found) + " of " + strconv.Itoa(e.Wanted) + " loopback addresses are free"
+}
+
 // startParallel bounds how many processes are started at the same time.
 const startParallel = 16
 
