Aim the store's faults at chosen keys

Cause: taking out the settling of a lost answer failed no test: the lost answers all hit immutable parts, whose writes are repeated. Ruled out: more lost answers; the number of part writes varies.

--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -30,6 +30,8 @@
 	// them take effect then.
 	LateWrites int            `json:"lateWrites"`
 	LateBy     usher.Duration `json:"lateBy"`
+	// Key limits lost answers and late writes to keys that begin with it.
+	Key usher.ObjectKey `json:"key"`
 }
 
 // Instance is one line of the platform's list of instances.
@@ -198,11 +200,11 @@
 	apply := func() (usher.Version, bool) {
 		return s.memory.Write(key, expected, value, r.Method == http.MethodDelete)
 	}
-	if s.holdBack(apply) {
+	if s.holdBack(key, apply) {
 		panic(http.ErrAbortHandler)
 	}
 	version, done := apply()
-	if s.takeFault(&s.faults.LoseAnswers) {
+	if s.takeFault(key, &s.faults.LoseAnswers) {
 		panic(http.ErrAbortHandler)
 	}
 	status := http.StatusOK
@@ -213,8 +215,8 @@
 }
 
 // holdBack lets a write take effect late, if that fault is set.
-func (s *Server) holdBack(apply func() (usher.Version, bool)) bool {
-	if !s.takeFault(&s.faults.LateWrites) {
+func (s *Server) holdBack(key usher.ObjectKey, apply func() (usher.Version, bool)) bool {
+	if !s.takeFault(key, &s.faults.LateWrites) {
 		return false
 	}
 	s.mu.Lock()
@@ -224,10 +226,10 @@
 	return true
 }
 
-func (s *Server) takeFault(left *int) bool {
+func (s *Server) takeFault(key usher.ObjectKey, left *int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if *left <= 0 {
+	if *left <= 0 || !strings.HasPrefix(string(key), string(s.faults.Key)) {
 		return false
 	}
 	*left--
