--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -228,7 +228,7 @@
 	case busy || p.pending.Load() > 0:
 		args.Wait = busyWait
 	default:
-		args.Wait = idleWait
+		args.Wait = p.entry.peers.idleWait()
 	}
 	reply := &wire.CollectReply{}
 	limit, cancel := context.WithTimeout(ctx, args.Wait+collectGrace)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -97,6 +97,17 @@
 	return connected
 }
 
+// idlePerPeer is added to the idle wait for each peer, so that an entry with
+// many peers exchanges at most eight idle messages a second with all of them.
+const idlePerPeer = 125 * time.Millisecond
+
+// idleWait is how long a Collect waits while nothing is under way.
+func (p *peers) idleWait() time.Duration {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return max(idleWait, time.Duration(len(p.byName))*idlePerPeer)
+}
+
 func (p *peers) connect(ctx context.Context, endpoint *usher.Endpoint) *peer {
 	ctx, cancel := context.WithCancel(ctx)
 	connected := newPeer(p.entry, endpoint.Name, link.New(endpoint.Companion), cancel)
