--- a/internal/companion/drain_test.go
+++ b/internal/companion/drain_test.go
@@ -123,6 +123,11 @@
 	if reply := <-running; reply.State != wire.StateAnswered {
 		t.Errorf("what ran: %+v", reply)
 	}
+	for _, id := range []usher.RequestID{"room-1", "room-2", "room-3"} {
+		if diff := cmp.Diff(handedBack, refusal(<-s.submit(id))); diff != "" {
+			t.Error("with room at the endpoint:", diff)
+		}
+	}
 	s.declare(t, 3, false)
 	s.awaitLoad(t, func(load usher.LoadReport) bool { return !load.Leaving })
 	if reply := <-s.submit("again"); reply.State != wire.StateAnswered {
