Let stand-ins and proxies listen where no outgoing connection comes from

Cause: a proxy that goes down and comes up again, and a process that is restarted, bind the port they had. Outgoing connections on loopback take their ports from the same address, so the port was sometimes taken: test/outcome endpoint_killed failed with 'address already in use' in one of six runs on a busy machine.

Ruled out: a leftover listener; the port was held by a connection.

Change: the fleet, the stand-ins and the proxies listen on other addresses of the loopback range.

Conclusion: the race is gone by construction; other flaky scripts of test/outcome have causes of their own and stay open.

--- a/internal/standin/commands/bench.go
+++ b/internal/standin/commands/bench.go
@@ -32,7 +32,7 @@
 func newForward() *command.Command {
 	c := command.New("forward", "a bare HTTP forwarder, for comparison")
 	var listen, to string
-	c.Settings.Address(&listen, "listen", "127.0.0.1:0", true, "where the forwarder is reached")
+	c.Settings.Address(&listen, "listen", "127.0.1.3:0", true, "where the forwarder is reached")
 	c.Settings.Address(&to, "to", "", true, "where requests are sent on to")
 	c.Run = func(ctx context.Context, _, errOut io.Writer) error {
 		return serve(ctx, errOut, listen, bench.Forwarder(to))
--- a/internal/standin/commands/servers.go
+++ b/internal/standin/commands/servers.go
@@ -32,7 +32,7 @@
 	var listen string
 	var reads, writes int
 	var lag time.Duration
-	c.Settings.Address(&listen, "listen", "127.0.0.1:0", true, "where the store is reached")
+	c.Settings.Address(&listen, "listen", "127.0.1.3:0", true, "where the store is reached")
 	c.Settings.Int(&reads, "reads", 2000, 1, 1000000, "reads a second that are served")
 	c.Settings.Int(&writes, "writes", 400, 1, 1000000, "writes a second that are served")
 	c.Settings.Duration(&lag, "list-lag", 30*time.Second, 0, time.Hour, "how late the list of instances is")
@@ -48,7 +48,7 @@
 	var listen, model string
 	var options engine.Options
 	var chunk int
-	c.Settings.Address(&listen, "listen", "127.0.0.1:0", true, "where the engine is reached")
+	c.Settings.Address(&listen, "listen", "127.0.1.3:0", true, "where the engine is reached")
 	c.Settings.Text(&model, "model", "advice-1", true, "the model that is loaded")
 	c.Settings.Duration(&options.PrefillPerToken, "prefill-per-token", 20*time.Microsecond, 0, time.Second, "time to compute one prompt token")
 	c.Settings.Duration(&options.DecodeStep, "decode-step", 5*time.Millisecond, 0, time.Second, "time of one decoding step")
@@ -74,7 +74,7 @@
 	c := command.New("desk", "a plain ordering service")
 	var listen string
 	var delay time.Duration
-	c.Settings.Address(&listen, "listen", "127.0.0.1:0", true, "where the desk is reached")
+	c.Settings.Address(&listen, "listen", "127.0.1.3:0", true, "where the desk is reached")
 	c.Settings.Duration(&delay, "delay", 2*time.Millisecond, 0, time.Hour, "how long a call takes")
 	c.Run = func(ctx context.Context, _, errOut io.Writer) error {
 		return serve(ctx, errOut, listen, desk.New(delay).Handler())
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -13,8 +13,10 @@
 	"github.com/rs/zerolog"
 )
 
-// loopback lets a proxy pick a free port.
-const loopback = "127.0.0.1:0"
+// loopback lets a proxy pick a free port. It is not the address that outgoing
+// connections on loopback come from, so a proxy that went down finds its port
+// free when it comes up again.
+const loopback = "127.0.1.1:0"
 
 // UnknownLinkError is returned for a link that has no proxy.
 type UnknownLinkError struct{ Link string }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -113,8 +113,10 @@
 	return json.Unmarshal(body, into)
 }
 
-// loopback lets a process pick a free port.
-const loopback = "127.0.0.1:0"
+// loopback lets a process pick a free port. It is not the address that outgoing
+// connections on loopback come from, so a process that is restarted finds its
+// port free.
+const loopback = "127.0.1.2:0"
 
 // Companion starts the companion of an endpoint. store is the address of the
 // object API as this process sees it, which may be a proxy.
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -371,7 +371,7 @@
 	return "", s.processes[d.CmdArgs[0].Key].Ready(s.ctx)
 }
 
-var masked = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}|\d{4}-\d\d-\d\dT[0-9:]+Z|127\.0\.0\.1:\d+`)
+var masked = regexp.MustCompile(`[0-9a-f]{8}(-[0-9a-f]{4}){3}-[0-9a-f]{12}|\d{4}-\d\d-\d\dT[0-9:]+Z|127\.0\.1\.2:\d+`)
 
 // cli runs the product's command line; the input, if any, is the file FILE.
 func (s *script) cli(d *datadriven.TestData) (string, error) {
