--- a/test/record/record_test.go
+++ b/test/record/record_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -279,6 +280,32 @@
 	s.Fatalf("the dump never was as wanted: %s", last)
 }
 
+// TestFrozenEntry pauses the entry until its companion has taken over, and lets
+// it store the same decisions once more.
+func TestFrozenEntry(t *testing.T) {
+	s := newScene(t, fleet.Plan{Entries: 1, Engines: [][]string{{}}, EntryArgs: []string{"--record-interval", "30s"}})
+	all := []told{s.question(), s.question()}
+	s.Entries[0].Signal(syscall.SIGSTOP)
+	for id, line := range s.awaitRecord(all...) {
+		if line.View != usher.ViewCompanion {
+			t.Errorf("request %s was stored by the %s, want the companion", id, line.View)
+		}
+	}
+	s.Entries[0].Signal(syscall.SIGCONT)
+	if err := s.Entries[0].Stop(); err != nil {
+		t.Error(err)
+	}
+	for id, line := range s.awaitRecord(all...) {
+		if line.View != usher.ViewEntry {
+			t.Errorf("request %s is found as the %s saw it, want the entry", id, line.View)
+		}
+	}
+	s.compare(all...)
+	if report := s.verify(); report.Lines != 2*len(all) {
+		t.Errorf("the chains have %d lines, want %d", report.Lines, 2*len(all))
+	}
+}
+
 func TestDeathOfTheCompanion(t *testing.T) {
 	s := newScene(t, fleet.Plan{Entries: 1, Engines: [][]string{{}}, Desks: 1})
 	s.store(store.Faults{Down: true})
@@ -328,8 +355,8 @@
 	s := newScene(t, fleet.Plan{Entries: 1, Engines: [][]string{{}}, Desks: 1, EntryArgs: []string{"--record-interval", "30s"}})
 	lost := []told{s.question(), s.question()}
 	kept := s.order("order-1")
-	s.Entries[0].Signal(9)
-	s.Companions[0].Signal(9)
+	s.Entries[0].Signal(syscall.SIGKILL)
+	s.Companions[0].Signal(syscall.SIGKILL)
 	found := s.awaitRecord(kept)
 	for _, one := range lost {
 		if _, ok := found[one.ID]; ok {
@@ -350,13 +377,16 @@
 func TestLostAndLateWrites(t *testing.T) {
 	s := newScene(t, fleet.Plan{Entries: 2, Engines: [][]string{{}}, Desks: 1})
 	var all []told
-	for round := range 4 {
-		s.store(store.Faults{LoseAnswers: 2, LateWrites: round % 2, LateBy: usher.Duration(400 * time.Millisecond)})
+	// A write that takes effect late does so before it is tried again, or after.
+	lateBy := []time.Duration{0, 20 * time.Millisecond, 0, 400 * time.Millisecond}
+	for round, late := range lateBy {
+		s.store(store.Faults{LoseAnswers: 2, LateWrites: round % 2, LateBy: usher.Duration(late)})
 		all = append(all, s.question(), s.order("order-"+strconv.Itoa(round)), s.refusal())
 		s.awaitRecord(all...)
 	}
 	s.compare(all...)
 	for _, entry := range s.Entries {
+		s.awaitDump(entry, func(dump map[string]any) bool { return dump["record"].(map[string]any)["batches"] == float64(0) })
 		if err := entry.Stop(); err != nil {
 			t.Error(err)
 		}
