--- a/internal/standin/commands/servers.go
+++ b/internal/standin/commands/servers.go
@@ -21,7 +21,7 @@
 
 // All lists the subcommands.
 func All() []*command.Command {
-	return []*command.Command{newStore(), newEngine(), newDesk(), newDemo(), newExperiment(), newBench(), newForward(), newSoak()}
+	return []*command.Command{newStore(), newEngine(), newDesk(), newDemo(), newExperiment(), newBench(), newForward(), newSoak(), newReport()}
 }
 
 // crashStatus is the exit status of an engine that crashed.
