Notice a companion's restart from its first reply on

Cause: a property test of histories with one death at a time lost a decision: a companion had answered and was restarted before the recorder had sent it a message, so its new incarnation looked like its first, and during an outage the only copy left was the entry's. Change: the reply that tells of a copy also tells whose it is. The property test drives a recorder and three keepers through answers, refusals, intervals, outages, lost answers, restarts and the death of the entry.

--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -36,7 +36,7 @@
 	if refusal != nil {
 		refusal = accepted.honest(refusal).WithRequestID(accepted.ID)
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
-		accepted.copies.Same = accepted.heldAs(nil, refusal)
+		accepted.setHeld(accepted.heldAs(nil, refusal))
 		e.finish(decision, accepted.copies)
 		writeRefusal(w, refusal)
 		return
@@ -44,7 +44,7 @@
 	decision.Outcome, decision.Status = usher.OutcomeRan, answer.Status
 	decision.AnswerSHA256 = string(answer.Digest())
 	decision.AnswerBytes = int64(len(answer.Body))
-	accepted.copies.Same = accepted.heldAs(answer, nil)
+	accepted.setHeld(accepted.heldAs(answer, nil))
 	e.finish(decision, accepted.copies)
 	writeAnswer(w, answer)
 }
@@ -196,6 +196,6 @@
 		decision.Outcome = usher.OutcomeRan
 		decision.AnswerSHA256 = string(out.sum())
 	}
-	accepted.copies.Same = held
+	accepted.setHeld(held)
 	e.finish(decision, accepted.copies)
 }
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -55,6 +55,15 @@
 	r.copies.At = append(r.copies.At, endpoint)
 }
 
+// setHeld notes whether the companion that replied last holds what the caller
+// is told.
+func (r *request) setHeld(held bool) {
+	r.copies.Same, r.copies.By = held, ""
+	if held && r.reply != nil {
+		r.copies.By = r.reply.Incarnation
+	}
+}
+
 // heldAs says whether the newest reply of a companion is what the caller is
 // told, and a copy of it is held there. An entry that tells its caller
 // something else, for example after a withdrawal, needs another copy.
--- a/internal/record/hold.go
+++ b/internal/record/hold.go
@@ -141,8 +141,7 @@
 func (r *Recorder) learn(endpoint usher.EndpointName, reply *wire.RecordReply) {
 	r.mu.Lock()
 	known := r.witness(endpoint)
-	lost := known.incarnation != "" && known.incarnation != goneIncarnation &&
-		known.incarnation != reply.Incarnation && known.held > 0
+	lost := known.restarted(reply.Incarnation)
 	known.incarnation = reply.Incarnation
 	for _, head := range reply.Seen {
 		if head.Writer != r.outbox.writer && head.Digest != "" {
--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -86,6 +86,12 @@
 	releasedBatches []usher.ObjectKey
 }
 
+// restarted says whether the incarnation is another one than that which took
+// the copies. One that was gone for a while was made up for then.
+func (w *witness) restarted(now usher.Incarnation) bool {
+	return w.held > 0 && w.incarnation != "" && w.incarnation != goneIncarnation && w.incarnation != now
+}
+
 type recorderMetrics struct {
 	recorded, held, heldAlone, batches, stored, failures, displaced func(int64)
 }
@@ -136,7 +142,7 @@
 			at = append(at, holder)
 		}
 	}
-	r.noteCopies(at)
+	r.noteCopies(at, copies.By)
 	stored, full := r.outbox.add(&decision, at)
 	if full || alone {
 		r.flush()
@@ -167,11 +173,23 @@
 	}
 }
 
-func (r *Recorder) noteCopies(at []usher.EndpointName) {
+// noteCopies counts the copies. by is the incarnation of the last companion, if
+// that is known: a restart has to be noticed also when it came before the first
+// message of this recorder to the companion.
+func (r *Recorder) noteCopies(at []usher.EndpointName, by usher.Incarnation) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, endpoint := range at {
-		r.witness(endpoint).held++
+	lost := false
+	for i, endpoint := range at {
+		known := r.witness(endpoint)
+		if i == len(at)-1 && by != "" {
+			lost = known.restarted(by)
+			known.incarnation = by
+		}
+		known.held++
+	}
+	r.mu.Unlock()
+	if lost {
+		r.copiesLost(at[len(at)-1])
 	}
 }
 
--- a/pkg/usher/record.go
+++ b/pkg/usher/record.go
@@ -63,6 +63,8 @@
 	// Same is true when the last of them told that it holds this very
 	// outcome, so that no further copy is needed.
 	Same bool
+	// By is the incarnation that told so. The copy dies with it.
+	By Incarnation
 }
 
 // Recorder is the writer's side of the record.
