--- a/internal/standin/commands/servers.go
+++ b/internal/standin/commands/servers.go
@@ -21,7 +21,10 @@
 
 // All lists the subcommands.
 func All() []*command.Command {
-	return []*command.Command{newStore(), newEngine(), newDesk(), newDemo(), newExperiment(), newBench(), newForward(), newSoak(), newReport()}
+	return []*command.Command{
+		newStore(), newEngine(), newDesk(), newForward(),
+		newDemo(), newBench(), newExperiment(), newSoak(), newScale(), newReport(),
+	}
 }
 
 // crashStatus is the exit status of an engine that crashed.
