Declare make scale once

Cause: a merge took the target in twice, and make warned about it.

Change: the second copy is gone.

Conclusion: none further.

--- a/Makefile
+++ b/Makefile
@@ -72,8 +72,3 @@
 	./bin/standin experiment -binary ./bin/filbertusher -previous out/previous/filbertusher \
 		-policies ours,previous,roundRobin,leastLoad -loads 0.9,2 -seeds 1 -duration 16s \
 		-output out/experiment-short.jsonl
-
-# scale runs up to a few hundred processes on this machine; it takes minutes.
-scale: build
-	./bin/standin scale -binary ./bin/filbertusher -sizes 20,60,120,240 -idle 5s
-	./bin/standin scale -binary ./bin/filbertusher -sizes 20 -workspaces 34000 -idle 5s
