--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,11 @@
 soak: build
 	./bin/standin soak -binary ./bin/filbertusher
 
+# scale runs up to a few hundred processes on this machine; it takes minutes.
+scale: build
+	./bin/standin scale -binary ./bin/filbertusher -sizes 20,60,120,240 -idle 5s
+	./bin/standin scale -binary ./bin/filbertusher -sizes 20 -workspaces 34000 -idle 5s
+
 clean:
 	rm -rf bin out
 
