Admit by learned pace, place by expected finish, decide late

Ruled out: a fixed limit on what runs in the engine; a slow engine or a small batch makes any constant wrong. Change: the room learns the engine's pace and a limit from it, keeps places for the measured demand of more urgent tiers, lets one long prompt in at a time, shares a tier between workspaces by start-time fair queueing, evicts the least urgent tier's youngest, and refuses what can't end in time before its prefill. The placer ranks by expected finish from reports, own offers since and prefix hints, without locks or allocations. A request that has to wait reserves room at a second endpoint; the first grant wins.

--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -25,6 +25,8 @@
 	protocol        string
 	running         int
 	waiting         int
+	waitingTokens   int
+	tokenPace       time.Duration
 	retention       time.Duration
 }
 
@@ -36,8 +38,10 @@
 	command.Settings.Text(&p.endpointName, "endpoint", "", true, "the name of the endpoint's declaration")
 	command.Settings.Address(&p.endpointAddress, "endpoint-address", "", true, "where the endpoint itself is reached")
 	command.Settings.Choice(&p.protocol, "protocol", string(usher.ServiceModel), []string{string(usher.ServiceModel), string(usher.ServicePlain)}, "how the endpoint is spoken to")
-	command.Settings.Int(&p.running, "max-running", 32, 1, 4096, "how many requests may be in the endpoint at once")
-	command.Settings.Int(&p.waiting, "max-waiting", 10000, 0, 1000000, "how many requests may wait for the endpoint")
+	command.Settings.Int(&p.running, "max-running", 256, 1, 4096, "how many requests may be in the endpoint at once; for model engines fewer are let in, as their pace allows")
+	command.Settings.Duration(&p.tokenPace, "token-pace", 25*time.Millisecond, time.Millisecond, time.Minute, "the mean time between two tokens of an answer that is not to be passed")
+	command.Settings.Int(&p.waiting, "max-waiting", 1000, 0, 1000000, "how many requests may wait for the endpoint")
+	command.Settings.Int(&p.waitingTokens, "max-waiting-tokens", 4<<20, 1, 1<<30, "how many prompt tokens the waiting requests may have together")
 	command.Settings.Duration(&p.retention, "retention", 10*time.Minute, time.Second, 24*time.Hour, "how long ended requests are remembered")
 	command.Run = p.run
 	return command
@@ -63,12 +67,17 @@
 		return err
 	}
 	name := usher.EndpointName(p.endpointName)
+	room := waiting.New(name, waiting.Options{
+		Running: p.running, Waiting: p.waiting, WaitingTokens: usher.Tokens(p.waitingTokens),
+		TokenPace: p.tokenPace, Fixed: p.protocol == string(usher.ServicePlain), Share: p.config.ShareOf,
+	})
 	beside := companion.New(companion.Options{Endpoint: name, Incarnation: p.incarnation, Fence: 1}, companion.Dependencies{
 		Config: p.config, Backend: p.backend(),
-		Admission: waiting.New(name, waiting.Options{Running: p.running, Waiting: p.waiting}),
+		Admission: room,
 		Ledger:    ledger.New(p.retention), Recorder: record.NewMemory(recordLimit), Log: p.log,
 	})
 	p.admin.Section("companion", beside.State)
+	p.admin.Section("admission", room.State)
 	server := link.NewServer(listener)
 	if err := server.Register("Companion", companion.NewRPC(beside)); err != nil {
 		return err
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -23,6 +23,8 @@
 	maxTimeout     time.Duration
 	bodyTimeout    time.Duration
 	readinessDelay time.Duration
+	lateDecision   bool
+	subset         int
 }
 
 func newEntryCommand() *Command {
@@ -34,6 +36,8 @@
 	command.Settings.Duration(&p.maxTimeout, "max-timeout", 10*time.Minute, time.Second, 24*time.Hour, "the longest timeout a caller may ask for")
 	command.Settings.Duration(&p.bodyTimeout, "body-timeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute, "how long a caller may take to send a request")
 	command.Settings.Duration(&p.readinessDelay, "readiness-delay", time.Second, 0, time.Minute, "how long a planned stop waits for the balancer to notice")
+	command.Settings.Bool(&p.lateDecision, "late-decision", true, "reserve room at a second endpoint for a request that has to wait")
+	command.Settings.Int(&p.subset, "subset", 32, 1, 10000, "how many endpoints of a service this process offers requests to")
 	command.Run = p.run
 	return command
 }
@@ -49,10 +53,10 @@
 	if err != nil {
 		return err
 	}
-	placer := placement.New(p.config, usher.AvailabilityZone(p.zone))
+	placer := placement.New(p.config, usher.AvailabilityZone(p.zone), string(p.incarnation), p.subset)
 	recorder := record.NewMemory(recordLimit)
 	server := entry.New(entry.Options{
-		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout,
+		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, LateDecision: p.lateDecision,
 	}, entry.Dependencies{Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
 	p.admin.Section("entry", server.State)
 	p.admin.Section("placement", placer.State)
--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -37,10 +37,11 @@
 // Companion is the state of the process. Its exported methods are in rpc.go.
 type Companion struct {
 	Dependencies
-	options Options
-	outlets *outlets
-	metrics metrics
-	drain   drain
+	options      Options
+	outlets      *outlets
+	metrics      metrics
+	drain        drain
+	reservations *reservations
 }
 
 type metrics struct {
@@ -58,6 +59,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		outlets:      newOutlets(),
+		reservations: newReservations(),
 		metrics: metrics{
 			submitted:  group.Counter("submitted").Add,
 			dispatched: group.Counter("dispatched").Add,
--- a/internal/companion/drain.go
+++ b/internal/companion/drain.go
@@ -75,6 +75,7 @@
 		"configVersion": c.Config.Current().Version,
 		"load":          c.Admission.Report(),
 		"requests":      c.Ledger.Counts(),
+		"reservations":  c.reservations.count(),
 		"leaving":       c.drain.started(),
 	}
 }
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -28,8 +28,19 @@
 	return nil
 }
 
-// Withdraw takes a request back.
+// Reserve asks for room for a request without its body.
+func (r *RPC) Reserve(args *wire.ReserveArgs, reply *wire.ReserveReply) error {
+	*reply = r.companion.reserve(args)
+	return nil
+}
+
+// Withdraw takes a request or a reservation back.
 func (r *RPC) Withdraw(args *wire.WithdrawArgs, reply *wire.WithdrawReply) error {
+	if args.Reservation {
+		r.companion.reservations.withdraw(args.ID)
+		reply.Status = r.companion.status()
+		return nil
+	}
 	reply.Outcome = r.companion.Ledger.Withdraw(args.ID, args.Cancel)
 	reply.Status = r.companion.status()
 	return nil
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -35,6 +35,9 @@
 // caller does not want to wait.
 func (w *work) admit(ctx context.Context) (usher.Slot, *usher.Refusal) {
 	c := w.companion
+	if slot := c.reservations.take(w.entry.Header.ID, w.args.Grant); slot != nil {
+		return slot, nil
+	}
 	if !w.args.MayWait {
 		slot, _ := c.Admission.TryAdmit(&w.entry.Header)
 		return slot, nil
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -39,6 +39,14 @@
 // Current returns the newest snapshot.
 func (h *Holder) Current() *Snapshot { return h.current.Load() }
 
+// ShareOf returns the weight of a workspace against others inside a tier.
+func (h *Holder) ShareOf(name usher.WorkspaceName) int {
+	if workspace, ok := h.Current().Workspaces[name]; ok {
+		return max(1, workspace.Share)
+	}
+	return 1
+}
+
 // Changed returns a channel that is closed when the next snapshot is taken in.
 func (h *Holder) Changed() <-chan struct{} {
 	h.mu.Lock()
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -46,27 +46,9 @@
 	return e.dispatchAny(ctx, accepted)
 }
 
-// dispatchAny offers the request to its candidates: first to each that has
-// room at once, then to the best one, where it may wait.
-func (e *Entry) dispatchAny(ctx context.Context, accepted *request) result {
-	accepted.candidates = e.Placer.Candidates(&accepted.RequestHeader, accepted.candidates)
-	if len(accepted.candidates) == 0 {
-		return refused(usher.NewRefusal(usher.RefusalNoEndpoint, "no endpoint serves the request").WithRetryAfter(time.Second))
-	}
-	for _, mayWait := range []bool{false, true} {
-		for _, candidate := range accepted.candidates {
-			got, final := e.offer(ctx, accepted, candidate.Endpoint, mayWait)
-			if final {
-				return got
-			}
-		}
-	}
-	return refused(usher.NewRefusal(usher.RefusalOverloaded, "every endpoint is full").WithRetryAfter(time.Second))
-}
-
 // offer sends the request to one endpoint. final is false when it certainly
 // did not run there and may be offered elsewhere.
-func (e *Entry) offer(ctx context.Context, accepted *request, endpoint usher.EndpointName, mayWait bool) (got result, final bool) {
+func (e *Entry) offer(ctx context.Context, accepted *request, endpoint usher.EndpointName, mayWait bool, grant uint64) (got result, final bool) {
 	peer := e.peers.of(endpoint)
 	if peer == nil {
 		return result{}, false
@@ -74,11 +56,13 @@
 	accepted.Attempt++
 	accepted.endpoint = endpoint
 	e.Placer.Assigned(endpoint, &accepted.RequestHeader)
-	defer func() { e.Placer.Released(endpoint, &accepted.RequestHeader, got.answer != nil) }()
+	defer func() {
+		e.Placer.Released(endpoint, &accepted.RequestHeader, got.answer != nil || got.stream != nil)
+	}()
 	stream := peer.open(accepted)
 	args := &wire.SubmitArgs{
 		Caller: e.caller(), Header: accepted.RequestHeader, Remaining: time.Until(accepted.Deadline),
-		Call: accepted.call, MayWait: mayWait, Stream: stream.number,
+		Call: accepted.call, MayWait: mayWait, Grant: grant, Stream: stream.number,
 	}
 	reply := &wire.SubmitReply{}
 	err := peer.link.Call(ctx, wire.MethodSubmit, args, reply)
@@ -114,7 +98,7 @@
 		return false
 	}
 	switch refusal.Kind {
-	case usher.RefusalLeaving, usher.RefusalOverloaded, usher.RefusalEndpointFailed:
+	case usher.RefusalLeaving, usher.RefusalOverloaded, usher.RefusalDeadline, usher.RefusalEndpointFailed:
 		return true
 	default:
 		return false
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,9 @@
 	MaxTimeout time.Duration
 	// BodyTimeout bounds how long a caller may take to send its request.
 	BodyTimeout time.Duration
+	// LateDecision reserves room at a second endpoint for a request that has
+	// to wait.
+	LateDecision bool
 }
 
 // Dependencies are what an entry works with.
@@ -50,6 +53,8 @@
 	unknown  func(int64)
 	settled  func(int64)
 	stray    func(int64)
+	reserved func(int64)
+	moved    func(int64)
 }
 
 // New returns an entry. Run has to be called.
@@ -66,6 +71,8 @@
 			unknown:  group.Counter("unknown").Add,
 			settled:  group.Counter("settled").Add,
 			stray:    group.Counter("strayEvents").Add,
+			reserved: group.Counter("reservations").Add,
+			moved:    group.Counter("requestsMoved").Add,
 		},
 	}
 	e.peers = newPeers(e)
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -16,7 +16,7 @@
 	if !ok {
 		return refused(usher.NewRefusal(usher.RefusalNoEndpoint, "no endpoint serves the request").WithRetryAfter(time.Second))
 	}
-	got, final := e.offer(ctx, accepted, endpoint, true)
+	got, final := e.offer(ctx, accepted, endpoint, true, 0)
 	if !final && got.refusal == nil {
 		return refused(usher.NewRefusal(usher.RefusalNoEndpoint, "the endpoint of the key can't be reached").WithRetryAfter(time.Second))
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -1,111 +1,237 @@
 // Package placement chooses the endpoints that a request is offered to.
+//
+// It ranks by expected finish, because engines are unlike: the one with the
+// shortest queue may still be the last to answer. The estimate is made of what
+// rode on replies of the endpoint's companion and of what this process sent
+// there since. Companions decide what they take, so a wrong estimate costs a
+// message and not a request.
 package placement
 
 import (
-	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"filbertusher/internal/config"
 	"filbertusher/pkg/usher"
 )
 
-// Placer ranks endpoints by what the process saw of them itself: its own
-// requests in flight there and the reports that came with replies.
+// Placer implements usher.Placer.
+//
+// Readers take no lock: the table is replaced as a whole when the
+// configuration changes, and what changes with each reply is in atomics of the
+// endpoint's view. A request therefore allocates nothing here.
 type Placer struct {
 	config *config.Holder
 	zone   usher.AvailabilityZone
-
-	mu    sync.Mutex
-	views map[usher.EndpointName]*view
+	seed   string
+	subset int
+	now    func() time.Time
+	prefix *prefixTable
+
+	table atomic.Pointer[table]
+	// building is held while a table is made for a new configuration.
+	building sync.Mutex
+	turn     atomic.Uint32
 }
 
 var _ usher.Placer = (*Placer)(nil)
 
-// view is what is known of one endpoint.
+// table is the endpoints of one version of the configuration.
+type table struct {
+	snapshot  *config.Snapshot
+	byName    map[usher.EndpointName]*view
+	byService map[usher.ServiceName][]*view
+}
+
+// view is what is known of one endpoint. It is kept when a table is replaced.
 type view struct {
-	report   usher.LoadReport
-	assigned int
+	name    usher.EndpointName
+	zone    usher.AvailabilityZone
+	leaving bool
+	// id stands for the endpoint in the table of prefixes.
+	id     uint16
+	report atomic.Pointer[seenReport]
+	// sentWork and sentCount sum up all offers to the endpoint; what is above
+	// the sums at the time of the last report is not in the report.
+	sentWork  atomic.Int64
+	sentCount atomic.Int64
+	inFlight  atomic.Int64
+}
+
+// seenReport is a report with the sums at the time of its arrival.
+type seenReport struct {
+	usher.LoadReport
+	sentWork  int64
+	sentCount int64
 }
 
-// otherZonePenalty is added to the expected finish in another zone.
-const otherZonePenalty = time.Millisecond
+const (
+	// otherZonePenalty is added to the expected finish in another zone.
+	otherZonePenalty = 2 * time.Millisecond
+	// maxCandidates is how many endpoints a request is told of at most.
+	maxCandidates = 16
+)
 
 // New returns a placer for a process in zone.
-func New(holder *config.Holder, zone usher.AvailabilityZone) *Placer {
-	return &Placer{config: holder, zone: zone, views: make(map[usher.EndpointName]*view)}
+//
+// seed tells processes apart: with more endpoints than subset, each process
+// chooses others.
+func New(holder *config.Holder, zone usher.AvailabilityZone, seed string, subset int) *Placer {
+	p := &Placer{config: holder, zone: zone, seed: seed, subset: subset, now: time.Now, prefix: newPrefixTable(prefixSets)}
+	p.table.Store(&table{snapshot: config.Empty()})
+	return p
+}
+
+// current returns the table of the newest configuration.
+func (p *Placer) current() *table {
+	t := p.table.Load()
+	if t.snapshot == p.config.Current() {
+		return t
+	}
+	p.building.Lock()
+	defer p.building.Unlock()
+	old := p.table.Load()
+	snapshot := p.config.Current()
+	if old.snapshot == snapshot {
+		return old
+	}
+	built := p.build(snapshot, old)
+	p.table.Store(built)
+	return built
+}
+
+func (p *Placer) build(snapshot *config.Snapshot, old *table) *table {
+	t := &table{
+		snapshot:  snapshot,
+		byName:    make(map[usher.EndpointName]*view, len(snapshot.Endpoints)),
+		byService: make(map[usher.ServiceName][]*view, len(snapshot.ByService)),
+	}
+	taken := make(map[uint16]bool, len(snapshot.Endpoints))
+	for name := range snapshot.Endpoints {
+		if existing, ok := old.byName[name]; ok {
+			taken[existing.id] = true
+		}
+	}
+	next := uint16(0)
+	for service, endpoints := range snapshot.ByService {
+		views := make([]*view, 0, len(endpoints))
+		for _, endpoint := range endpoints {
+			v := &view{name: endpoint.Name, zone: endpoint.AvailabilityZone, leaving: endpoint.Leaving}
+			if existing, ok := old.byName[endpoint.Name]; ok {
+				v.inherit(existing)
+			} else {
+				next = freeID(next, taken)
+				v.id = next
+			}
+			t.byName[endpoint.Name] = v
+			views = append(views, v)
+		}
+		t.byService[service] = p.choose(views)
+	}
+	return t
+}
+
+// freeID returns the first id after last that no endpoint has.
+func freeID(last uint16, taken map[uint16]bool) uint16 {
+	for {
+		last++
+		if !taken[last] {
+			return last
+		}
+	}
+}
+
+// inherit takes over what was known of the endpoint. Offers that are counted
+// in the old view at the same time are lost to the estimate until the next
+// report.
+func (v *view) inherit(existing *view) {
+	v.id = existing.id
+	v.report.Store(existing.report.Load())
+	v.sentWork.Store(existing.sentWork.Load())
+	v.sentCount.Store(existing.sentCount.Load())
+	v.inFlight.Store(existing.inFlight.Load())
 }
 
 // Candidates implements usher.Placer.
 func (p *Placer) Candidates(header *usher.RequestHeader, into []usher.Candidate) []usher.Candidate {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	t := p.current()
 	into = into[:0]
-	for _, endpoint := range p.config.Current().ByService[header.Service] {
-		known := p.view(endpoint.Name)
-		if endpoint.Leaving || known.report.Leaving {
+	views := t.byService[header.Service]
+	if len(views) == 0 {
+		return into
+	}
+	var reused matches
+	p.prefix.find(header.Prefix, &reused)
+	now := p.now()
+	// Equal estimates are taken in turn, or the first endpoint by name would
+	// get every request while nothing is known.
+	start := int(p.turn.Add(1)) % len(views)
+	for i := range views {
+		v := views[(start+i)%len(views)]
+		report := v.report.Load()
+		if v.leaving || report != nil && report.Leaving {
 			continue
 		}
-		finish := known.expected(header)
-		if endpoint.AvailabilityZone != p.zone {
-			finish += otherZonePenalty
+		candidate := usher.Candidate{Endpoint: v.name, Reused: reused.of(v.id, header)}
+		candidate.Finish = v.finish(report, header, candidate.Reused, now)
+		if v.zone != p.zone {
+			candidate.Finish += otherZonePenalty
 		}
-		into = append(into, usher.Candidate{Endpoint: endpoint.Name, Finish: finish})
+		into = insert(into, candidate)
 	}
-	sort.SliceStable(into, func(i, j int) bool { return into[i].Finish < into[j].Finish })
 	return into
 }
 
-func (p *Placer) view(name usher.EndpointName) *view {
-	known, ok := p.views[name]
-	if !ok {
-		known = &view{}
-		p.views[name] = known
+// insert keeps the candidates in order of finish and bounds their number.
+func insert(into []usher.Candidate, candidate usher.Candidate) []usher.Candidate {
+	if len(into) == maxCandidates {
+		if into[maxCandidates-1].Finish <= candidate.Finish {
+			return into
+		}
+		into = into[:maxCandidates-1]
 	}
-	return known
-}
-
-// defaultPace is the pace that is assumed of an endpoint that was never seen.
-const defaultPace = 10 * time.Millisecond
-
-func (v *view) expected(header *usher.RequestHeader) time.Duration {
-	decode := v.report.DecodePerToken
-	if decode == 0 {
-		decode = defaultPace
+	at := len(into)
+	into = append(into, candidate)
+	for at > 0 && into[at-1].Finish > candidate.Finish {
+		into[at] = into[at-1]
+		at--
 	}
-	own := time.Duration(header.Cost.AnswerTokens) * decode
-	return v.report.QueuedWork + time.Duration(v.assigned+1)*own
+	into[at] = candidate
+	return into
 }
 
 // Observe implements usher.Placer.
 func (p *Placer) Observe(report usher.LoadReport) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	report.Taken = time.Now()
-	p.view(report.Endpoint).report = report
+	v, ok := p.current().byName[report.Endpoint]
+	if !ok {
+		return
+	}
+	report.Taken = p.now()
+	v.report.Store(&seenReport{
+		LoadReport: report, sentWork: v.sentWork.Load(), sentCount: v.sentCount.Load(),
+	})
 }
 
 // Assigned implements usher.Placer.
-func (p *Placer) Assigned(endpoint usher.EndpointName, _ *usher.RequestHeader) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.view(endpoint).assigned++
+func (p *Placer) Assigned(endpoint usher.EndpointName, header *usher.RequestHeader) {
+	v, ok := p.current().byName[endpoint]
+	if !ok {
+		return
+	}
+	v.sentWork.Add(int64(v.report.Load().work(header, 0)))
+	v.sentCount.Add(1)
+	v.inFlight.Add(1)
 }
 
 // Released implements usher.Placer.
-func (p *Placer) Released(endpoint usher.EndpointName, _ *usher.RequestHeader, _ bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.view(endpoint).assigned--
-}
-
-// State is the placer's part of the dump.
-func (p *Placer) State() any {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	state := make(map[usher.EndpointName]any, len(p.views))
-	for name, known := range p.views {
-		state[name] = map[string]any{"report": known.report, "assigned": known.assigned}
+func (p *Placer) Released(endpoint usher.EndpointName, header *usher.RequestHeader, ran bool) {
+	v, ok := p.current().byName[endpoint]
+	if !ok {
+		return
+	}
+	v.inFlight.Add(-1)
+	if ran {
+		p.prefix.add(header.Prefix, v.id)
 	}
-	return state
 }
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,427 @@
+package placement
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"filbertusher/internal/config"
+	"filbertusher/pkg/usher"
+)
+
+// newPlacer returns a placer that knows endpoints of services, whose clock
+// only the test moves.
+func newPlacer(t testing.TB, endpoints []usher.Endpoint, now *time.Time) (*Placer, *config.Holder) {
+	t.Helper()
+	holder := config.NewHolder()
+	offer(t, holder, endpoints, 1)
+	p := New(holder, "a", "seed", 32)
+	p.now = func() time.Time { return *now }
+	return p, holder
+}
+
+func offer(t testing.TB, holder *config.Holder, endpoints []usher.Endpoint, version usher.Version) {
+	t.Helper()
+	var objects []usher.Object
+	for _, endpoint := range endpoints {
+		value, err := json.Marshal(endpoint)
+		if err != nil {
+			t.Fatal(err)
+		}
+		objects = append(objects, usher.Object{Key: config.Key(config.KindEndpoint, string(endpoint.Name)), Value: value})
+	}
+	snapshot, err := config.Build(objects, version)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !holder.Offer(snapshot) {
+		t.Fatal("the snapshot was not taken in")
+	}
+}
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		now := time.Unix(0, 0)
+		var p *Placer
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "endpoints":
+				var endpoints []usher.Endpoint
+				for line := range strings.Lines(d.Input) {
+					var name, zone string
+					fmt.Sscan(line, &name, &zone)
+					endpoints = append(endpoints, usher.Endpoint{
+						Name: usher.EndpointName(name), Service: "s", AvailabilityZone: usher.AvailabilityZone(zone),
+						Leaving: strings.Contains(line, "leaving"),
+					})
+				}
+				p, _ = newPlacer(t, endpoints, &now)
+				return ""
+			case "report":
+				for line := range strings.Lines(d.Input) {
+					p.Observe(scanReport(t, line))
+				}
+				return ""
+			case "advance":
+				by, err := time.ParseDuration(d.CmdArgs[0].Key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(by)
+				return ""
+			}
+			h := scanRequest(t, d)
+			if d.Cmd == "assign" || d.Cmd == "ran" {
+				endpoint := usher.EndpointName(d.CmdArgs[0].Key)
+				p.Assigned(endpoint, h)
+				p.Released(endpoint, h, d.Cmd == "ran")
+				return ""
+			}
+			var out strings.Builder
+			for _, c := range p.Candidates(h, nil) {
+				fmt.Fprintf(&out, "%s finish=%v reused=%d\n", c.Endpoint, c.Finish, c.Reused)
+			}
+			return out.String()
+		})
+	})
+}
+
+// scanReport reads "name running limit wait prefillPerToken decodePerToken".
+func scanReport(t *testing.T, line string) usher.LoadReport {
+	t.Helper()
+	var name, wait, prefill, decode string
+	var r usher.LoadReport
+	if _, err := fmt.Sscan(line, &name, &r.Running, &r.Limit, &wait, &prefill, &decode); err != nil {
+		t.Fatalf("line %q: %v", line, err)
+	}
+	r.Endpoint = usher.EndpointName(name)
+	waited, _ := time.ParseDuration(wait)
+	for i := range r.WaitByRank {
+		r.WaitByRank[i] = waited * time.Duration(i)
+	}
+	r.PrefillPerToken, _ = time.ParseDuration(prefill)
+	r.DecodePerToken, _ = time.ParseDuration(decode)
+	r.Leaving = strings.Contains(line, "leaving")
+	return r
+}
+
+func scanRequest(t *testing.T, d *datadriven.TestData) *usher.RequestHeader {
+	t.Helper()
+	h := &usher.RequestHeader{Service: "s"}
+	var rank, prompt, answer, prefix int
+	d.MaybeScanArgs(t, "rank", &rank)
+	d.MaybeScanArgs(t, "prompt", &prompt)
+	d.MaybeScanArgs(t, "answer", &answer)
+	d.MaybeScanArgs(t, "prefix", &prefix)
+	h.Rank = usher.Rank(rank)
+	h.Cost = usher.RequestCost{PromptTokens: usher.Tokens(prompt), AnswerTokens: usher.Tokens(answer)}
+	for i := range prefix {
+		h.Prefix = append(h.Prefix, uint64(i+1)<<32|uint64(i+1))
+	}
+	return h
+}
+
+// TestSameOrderAsPlain compares the candidates with a plain version, which
+// computes every estimate anew from a list of what happened, and sorts.
+func TestSameOrderAsPlain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 30).Draw(t, "endpoints")
+		endpoints := make([]usher.Endpoint, count)
+		for i := range endpoints {
+			endpoints[i] = usher.Endpoint{Name: usher.EndpointName("e" + strconv.Itoa(i)), Service: "s", AvailabilityZone: rapid.SampledFrom([]usher.AvailabilityZone{"a", "b"}).Draw(t, "zone")}
+		}
+		now := time.Unix(1000, 0)
+		holder := config.NewHolder()
+		p := New(holder, "a", "seed", 32)
+		p.now = func() time.Time { return now }
+		offerRapid(t, holder, endpoints)
+		plain := make(map[usher.EndpointName]*plainView)
+		for i := range rapid.IntRange(0, 60).Draw(t, "steps") {
+			now = now.Add(time.Millisecond)
+			endpoint := endpoints[rapid.IntRange(0, count-1).Draw(t, "endpoint")].Name
+			if plain[endpoint] == nil {
+				plain[endpoint] = &plainView{}
+			}
+			if rapid.Bool().Draw(t, "report") {
+				report := drawReport(t, endpoint)
+				p.Observe(report)
+				plain[endpoint].report, plain[endpoint].seen, plain[endpoint].sent = &report, now, nil
+				continue
+			}
+			h := drawHeader(t, i)
+			plain[endpoint].sent = append(plain[endpoint].sent, plain[endpoint].work(h, 0))
+			plain[endpoint].inFlight++
+			p.Assigned(endpoint, h)
+		}
+		h := drawHeader(t, 1000)
+		var want []time.Duration
+		for _, endpoint := range endpoints {
+			v := plain[endpoint.Name]
+			if v == nil {
+				v = &plainView{}
+			}
+			finish := v.finish(h, now)
+			if endpoint.AvailabilityZone != "a" {
+				finish += otherZonePenalty
+			}
+			want = append(want, finish)
+		}
+		sort.Slice(want, func(i, j int) bool { return want[i] < want[j] })
+		want = want[:min(len(want), maxCandidates)]
+		var got []time.Duration
+		for _, c := range p.Candidates(h, nil) {
+			got = append(got, c.Finish)
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func offerRapid(t *rapid.T, holder *config.Holder, endpoints []usher.Endpoint) {
+	var objects []usher.Object
+	for _, endpoint := range endpoints {
+		value, _ := json.Marshal(endpoint)
+		objects = append(objects, usher.Object{Key: config.Key(config.KindEndpoint, string(endpoint.Name)), Value: value})
+	}
+	snapshot, err := config.Build(objects, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder.Offer(snapshot)
+}
+
+func drawReport(t *rapid.T, endpoint usher.EndpointName) usher.LoadReport {
+	r := usher.LoadReport{
+		Endpoint: endpoint, Running: rapid.IntRange(0, 8).Draw(t, "running"), Limit: rapid.IntRange(1, 8).Draw(t, "limit"),
+		DecodePerToken:  time.Duration(rapid.IntRange(1, 40).Draw(t, "decode")) * time.Millisecond,
+		PrefillPerToken: time.Duration(rapid.IntRange(1, 100).Draw(t, "prefill")) * time.Microsecond,
+		PrefillBacklog:  time.Duration(rapid.IntRange(0, 100).Draw(t, "backlog")) * time.Millisecond,
+	}
+	for i := range r.WaitByRank {
+		r.WaitByRank[i] = time.Duration(rapid.IntRange(0, 1000).Draw(t, "wait")) * time.Millisecond
+	}
+	return r
+}
+
+func drawHeader(t *rapid.T, i int) *usher.RequestHeader {
+	return &usher.RequestHeader{
+		ID: usher.RequestID(strconv.Itoa(i)), Service: "s", Rank: usher.Rank(rapid.IntRange(0, 5).Draw(t, "rank")),
+		Cost: usher.RequestCost{PromptTokens: usher.Tokens(rapid.IntRange(1, 5000).Draw(t, "prompt")), AnswerTokens: usher.Tokens(rapid.IntRange(1, 300).Draw(t, "answer"))},
+	}
+}
+
+type plainView struct {
+	report   *usher.LoadReport
+	seen     time.Time
+	sent     []time.Duration
+	inFlight int
+}
+
+func (v *plainView) work(h *usher.RequestHeader, reused usher.Tokens) time.Duration {
+	prefill, decode := defaultPrefill, defaultDecode
+	if v.report != nil {
+		prefill, decode = v.report.PrefillPerToken, v.report.DecodePerToken
+	}
+	return time.Duration(h.Cost.PromptTokens-reused)*prefill + time.Duration(h.Cost.AnswerTokens+1)*decode
+}
+
+func (v *plainView) finish(h *usher.RequestHeader, now time.Time) time.Duration {
+	own := v.work(h, 0)
+	if v.report == nil {
+		return own * time.Duration(1+v.inFlight)
+	}
+	wait := max(0, v.report.PrefillBacklog-now.Sub(v.seen))
+	if v.report.Running+len(v.sent) >= v.report.Limit {
+		rank := min(int(h.Rank), usher.ReportedRanks-1)
+		wait = max(wait, v.report.WaitByRank[rank]-now.Sub(v.seen))
+		sum := time.Duration(0)
+		for _, one := range v.sent {
+			sum += one
+		}
+		wait += sum / time.Duration(v.report.Limit)
+	}
+	return own + wait
+}
+
+// TestHintsAreNeverLongerThanWhatWasSent holds for any order of prefixes, also
+// when hints push each other out.
+func TestHintsAreNeverLongerThanWhatWasSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := newPrefixTable(4)
+		sent := make(map[uint16]map[uint64]bool)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			endpoint := uint16(rapid.IntRange(1, 5).Draw(t, "endpoint"))
+			prefix := drawPrefix(t)
+			table.add(prefix, endpoint)
+			if sent[endpoint] == nil {
+				sent[endpoint] = make(map[uint64]bool)
+			}
+			for _, hash := range prefix {
+				sent[endpoint][hash] = true
+			}
+		}
+		prefix := drawPrefix(t)
+		var found matches
+		table.find(prefix, &found)
+		for i := range found.count {
+			if !sent[found.endpoint[i]][prefix[found.blocks[i]-1]] {
+				t.Fatalf("endpoint %d was never sent block %d", found.endpoint[i], found.blocks[i])
+			}
+		}
+	})
+}
+
+// drawPrefix returns one of a few families of prefixes; a block's hash depends
+// on the family and on all blocks before.
+func drawPrefix(t *rapid.T) []uint64 {
+	family := rapid.Uint64Range(1, 6).Draw(t, "family")
+	random := rand.New(rand.NewPCG(family, 0))
+	prefix := make([]uint64, rapid.IntRange(1, 8).Draw(t, "blocks"))
+	for i := range prefix {
+		prefix[i] = random.Uint64()
+	}
+	return prefix
+}
+
+// targetEndpoints are the replicas of the target size: models times replicas.
+func targetEndpoints(replicas, models int) []usher.Endpoint {
+	endpoints := make([]usher.Endpoint, replicas)
+	for i := range endpoints {
+		endpoints[i] = usher.Endpoint{
+			Name: usher.EndpointName("e" + strconv.Itoa(i)), Service: usher.ServiceName("s" + strconv.Itoa(i%models)),
+			AvailabilityZone: usher.AvailabilityZone(string(rune('a' + i%5))),
+		}
+	}
+	return endpoints
+}
+
+// BenchmarkCandidates is one decision at a number of replicas, with a prefix of
+// the longest kind; workspaces only differ in their prefixes.
+func BenchmarkCandidates(b *testing.B) {
+	for _, size := range []struct{ replicas, models, workspaces int }{{77, 15, 3400}, {770, 15, 34000}, {7700, 15, 340000}} {
+		b.Run(fmt.Sprintf("replicas=%d/workspaces=%d", size.replicas, size.workspaces), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			before := heapInUse()
+			endpoints := targetEndpoints(size.replicas, size.models)
+			p, _ := newPlacer(b, endpoints, &now)
+			headers := make([]usher.RequestHeader, 4096)
+			random := rand.New(rand.NewPCG(1, 1))
+			for i := range headers {
+				workspace := random.IntN(size.workspaces)
+				headers[i] = usher.RequestHeader{Service: usher.ServiceName("s" + strconv.Itoa(workspace%size.models)), Rank: usher.Rank(i % 4)}
+				headers[i].Cost = usher.RequestCost{PromptTokens: 2000, AnswerTokens: 200}
+				blocks := rand.New(rand.NewPCG(uint64(workspace), 2))
+				for range 16 {
+					headers[i].Prefix = append(headers[i].Prefix, blocks.Uint64())
+				}
+			}
+			for i := range endpoints {
+				p.Observe(usher.LoadReport{Endpoint: endpoints[i].Name, Limit: 16, Running: i % 20, DecodePerToken: time.Duration(10+i%20) * time.Millisecond, PrefillPerToken: 20 * time.Microsecond})
+			}
+			memory := float64(heapInUse()-before) / (1 << 20)
+			into := make([]usher.Candidate, 0, maxCandidates)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				h := &headers[i%len(headers)]
+				into = p.Candidates(h, into)
+				p.Assigned(into[0].Endpoint, h)
+				p.Released(into[0].Endpoint, h, true)
+			}
+			b.ReportMetric(memory, "MB")
+		})
+	}
+}
+
+// TestSubsetsCoverAllEndpoints has as many processes as the target: every
+// endpoint is used, none by more than three times its part, the own zone goes
+// first, and an endpoint that goes changes one place of a subset.
+func TestSubsetsCoverAllEndpoints(t *testing.T) {
+	const processes, subset = 330, 16
+	now := time.Unix(0, 0)
+	endpoints := targetEndpoints(51, 1)
+	used := make(map[usher.EndpointName]int)
+	for process := range processes {
+		p, holder := newPlacer(t, endpoints, &now)
+		p.seed, p.subset = strconv.Itoa(process), subset
+		p.zone = usher.AvailabilityZone(string(rune('a' + process%5)))
+		first := names(p)
+		local := 0
+		for name := range first {
+			used[name]++
+			if zoneOf(endpoints, name) == p.zone {
+				local++
+			}
+		}
+		if local < 10 {
+			t.Fatalf("process %d uses %d endpoints of its own zone", process, local)
+		}
+		offer(t, holder, endpoints[:50], 2)
+		changed := 0
+		for name := range names(p) {
+			if !first[name] {
+				changed++
+			}
+		}
+		if changed > 1 {
+			t.Fatalf("process %d changed %d endpoints", process, changed)
+		}
+	}
+	for _, endpoint := range endpoints {
+		part := processes * subset / len(endpoints)
+		if n := used[endpoint.Name]; n == 0 || n > 3*part {
+			t.Errorf("%s is used by %d processes, its part is %d", endpoint.Name, n, part)
+		}
+	}
+}
+
+func names(p *Placer) map[usher.EndpointName]bool {
+	found := make(map[usher.EndpointName]bool)
+	for _, v := range p.current().byService["s0"] {
+		found[v.name] = true
+	}
+	return found
+}
+
+func zoneOf(endpoints []usher.Endpoint, name usher.EndpointName) usher.AvailabilityZone {
+	for _, endpoint := range endpoints {
+		if endpoint.Name == name {
+			return endpoint.AvailabilityZone
+		}
+	}
+	return ""
+}
+
+// TestNoAllocationOnThePath is the part of the benchmark that CI checks.
+func TestNoAllocationOnThePath(t *testing.T) {
+	now := time.Unix(0, 0)
+	p, _ := newPlacer(t, targetEndpoints(770, 15), &now)
+	h := &usher.RequestHeader{Service: "s3", Prefix: []uint64{1, 2, 3}, Cost: usher.RequestCost{PromptTokens: 500, AnswerTokens: 50}}
+	into := make([]usher.Candidate, 0, maxCandidates)
+	got := testing.AllocsPerRun(100, func() {
+		into = p.Candidates(h, into)
+		p.Assigned(into[0].Endpoint, h)
+		p.Released(into[0].Endpoint, h, true)
+	})
+	if got != 0 {
+		t.Errorf("a decision allocates %v times", got)
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- /dev/null
+++ b/internal/placement/queries.go
@@ -0,0 +1,43 @@
+package placement
+
+import (
+	"time"
+
+	"filbertusher/pkg/usher"
+)
+
+// EndpointState is one endpoint in the dump.
+type EndpointState struct {
+	Report   *usher.LoadReport `json:"report,omitempty"`
+	Age      string            `json:"age,omitempty"`
+	InFlight int64             `json:"inFlight"`
+	// SentSince counts the offers that the report does not know of.
+	SentSince int64 `json:"sentSince"`
+}
+
+// State is the placer's part of the dump.
+func (p *Placer) State() any {
+	t := p.current()
+	state := make(map[usher.EndpointName]EndpointState, len(t.byName))
+	for name, v := range t.byName {
+		one := EndpointState{InFlight: v.inFlight.Load(), SentSince: v.sentCount.Load()}
+		if report := v.report.Load(); report != nil {
+			one.Report = &report.LoadReport
+			one.Age = p.now().Sub(report.Taken).Round(time.Millisecond).String()
+			one.SentSince -= report.sentCount
+		}
+		state[name] = one
+	}
+	return state
+}
+
+// KeepsLess says whether an endpoint may keep waiting requests that are less
+// urgent than rank: its last report said so, or there is none that is fresh.
+func (p *Placer) KeepsLess(endpoint usher.EndpointName, rank usher.Rank, fresh time.Duration) bool {
+	v, ok := p.current().byName[endpoint]
+	if !ok {
+		return false
+	}
+	report := v.report.Load()
+	return report == nil || p.now().Sub(report.Taken) > fresh || report.LowestKept > rank
+}
--- a/internal/standin/commands/experiment.go
+++ b/internal/standin/commands/experiment.go
@@ -18,7 +18,7 @@
 	load.Options
 	binary, output                string
 	policies, mixes, loads, seeds string
-	companionArg                  string
+	companionArg, entryArg        string
 }
 
 func newExperiment() *command.Command {
@@ -39,6 +39,7 @@
 	c.Settings.Bool(&f.SlowEngine, "slow-engine", true, "slow the first engine fivefold midway")
 	c.Settings.Bool(&f.Burst, "burst", true, "double the arrivals for a fifth of the run")
 	c.Settings.Text(&f.companionArg, "companion-args", "", false, "flags added to the companions of the policy ours, by commas")
+	c.Settings.Text(&f.entryArg, "entry-args", "", false, "flags added to the entries of the policy ours, by commas")
 	c.Run = f.run
 	return c
 }
@@ -51,6 +52,7 @@
 	f.Binaries = fleet.Binaries{Product: f.binary, Standin: self}
 	f.Policies, f.Mixes = load.ParseList(f.policies), load.ParseList(f.mixes)
 	f.CompanionArgs = load.ParseList(f.companionArg)
+	f.EntryArgs = load.ParseList(f.entryArg)
 	for _, text := range load.ParseList(f.loads) {
 		multiple, err := strconv.ParseFloat(text, 64)
 		if err != nil {
--- a/internal/standin/load/capacity.go
+++ b/internal/standin/load/capacity.go
@@ -40,38 +40,68 @@
 	}
 }
 
-// work returns how long an engine with a full batch is busy for a request: the
-// prefill of what is not cached, and its part of each decoding step.
-func (h *Hardware) work(prefill, answer float64) time.Duration {
-	step := float64(h.DecodeStep)/float64(h.MaxBatch) + float64(h.DecodePerRequest)
+// work returns how long an engine that decodes batch requests at once is busy
+// for a request: the prefill of what is not cached, and its part of each step.
+func (h *Hardware) work(prefill, answer, batch float64) time.Duration {
+	step := float64(h.DecodeStep)/batch + float64(h.DecodePerRequest)
 	return time.Duration(prefill*float64(h.PrefillPerToken) + answer*step)
 }
 
-func (h *Hardware) classWork(class *Class) time.Duration {
-	return h.work(class.Prompt.mean()-float64(class.Shared), class.Answer.mean())
+func (h *Hardware) classWork(class *Class, batch float64) time.Duration {
+	return h.work(class.Prompt.mean()-float64(class.Shared), class.Answer.mean(), batch)
 }
 
-// Rates returns the requests a second of each class that make up load times
-// the capacity of the engines. The capacity follows from the engines' flags:
-// an engine with a full batch does a second of work each second, and every
-// engine is taken to get the same mix with the shared prefixes cached.
-func Rates(mix *Mix, hardware []Hardware, load float64) []float64 {
-	// perWork is how many requests of a class one unit of mixed work has.
-	rates := make([]float64, len(mix.Classes))
+// batchIterations is enough for the batch size of a mix to settle.
+const batchIterations = 20
+
+// Capacity is what engines can do of a mix: the requests a second of each
+// class, and how many requests the engines decode at once then.
+type Capacity struct {
+	Rates []float64
+	Batch float64
+}
+
+// CapacityOf follows from the engines' flags. An engine does a second of work
+// each second, every engine gets the same mix, and shared prefixes are cached.
+//
+// An engine computes at most a chunk of prompt in a step. A mix with long
+// prompts needs so many chunks that fewer than the most requests decode beside
+// them: with r prompt tokens for each answer token, a batch of b needs r times
+// b prompt tokens a step, so b is at most the chunk divided by r.
+func CapacityOf(mix *Mix, hardware []Hardware) Capacity {
 	reference := &hardware[0]
-	for i := range mix.Classes {
-		rates[i] = mix.Classes[i].Work / reference.classWork(&mix.Classes[i]).Seconds()
+	c := Capacity{Rates: make([]float64, len(mix.Classes)), Batch: float64(reference.MaxBatch)}
+	for range batchIterations {
+		prompt, answer := 0.0, 0.0
+		for i := range mix.Classes {
+			class := &mix.Classes[i]
+			c.Rates[i] = class.Work / reference.classWork(class, c.Batch).Seconds()
+			prompt += c.Rates[i] * (class.Prompt.mean() - float64(class.Shared))
+			answer += c.Rates[i] * class.Answer.mean()
+		}
+		fitting := float64(reference.PrefillChunk) * answer / prompt
+		c.Batch = (c.Batch + min(float64(reference.MaxBatch), fitting)) / 2
 	}
 	units := 0.0
 	for k := range hardware {
 		busy := 0.0
 		for i := range mix.Classes {
-			busy += rates[i] * hardware[k].classWork(&mix.Classes[i]).Seconds()
+			busy += c.Rates[i] * hardware[k].classWork(&mix.Classes[i], c.Batch).Seconds()
 		}
 		units += 1 / busy
 	}
+	for i := range c.Rates {
+		c.Rates[i] *= units
+	}
+	return c
+}
+
+// Rates returns the requests a second of each class that make up load times
+// the capacity.
+func Rates(mix *Mix, hardware []Hardware, load float64) []float64 {
+	rates := CapacityOf(mix, hardware).Rates
 	for i := range rates {
-		rates[i] *= units * load
+		rates[i] *= load
 	}
 	return rates
 }
@@ -86,11 +116,12 @@
 	for i := range mix.Classes {
 		shared[mix.Classes[i].Name] = mix.Classes[i].Shared
 	}
+	batch := CapacityOf(mix, hardware).Batch
 	done := time.Duration(0)
 	for _, r := range results {
 		ended := r.Sent + r.Total
 		if r.OnTime && ended >= warm && ended < end {
-			done += reference.work(float64(r.PromptTokens-shared[r.Class]), float64(r.AnswerTokens))
+			done += reference.work(float64(r.PromptTokens-shared[r.Class]), float64(r.AnswerTokens), batch)
 		}
 	}
 	able := -lost
--- a/internal/standin/load/experiment.go
+++ b/internal/standin/load/experiment.go
@@ -47,6 +47,8 @@
 	Burst bool
 	// CompanionArgs are added to the product's companions.
 	CompanionArgs []string
+	// EntryArgs are added to the product's entries.
+	EntryArgs []string
 }
 
 // Experiment replays each mix under each policy, load and seed, and writes a
@@ -188,6 +190,7 @@
 	plan := fleet.Plan{Entries: e.options.Entries}
 	if policy == PolicyOurs {
 		plan.CompanionArgs = e.options.CompanionArgs
+		plan.EntryArgs = e.options.EntryArgs
 	}
 	for i := range hardware {
 		plan.Engines = append(plan.Engines, hardware[i].Args(e.options.ReportLag))
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -75,11 +75,12 @@
 	hardware := []Hardware{fast, slow}
 	for i := range Mixes() {
 		mix := &Mixes()[i]
+		capacity := CapacityOf(mix, hardware)
 		const length = 500 * time.Second
-		plan := Plan(mix, PlanOptions{Rates: Rates(mix, hardware, 1), Duration: length, Seed: 1})
+		plan := Plan(mix, PlanOptions{Rates: capacity.Rates, Duration: length, Seed: 1})
 		work := time.Duration(0)
 		for _, a := range plan {
-			work += fast.work(float64(a.Prompt-a.Class.Shared), float64(a.Chat.MaxTokens))
+			work += fast.work(float64(a.Prompt-a.Class.Shared), float64(a.Chat.MaxTokens), capacity.Batch)
 		}
 		// The slow engine does half of what the fast one does.
 		if share := float64(work) / (1.5 * float64(length)); share < 0.9 || share > 1.1 {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -106,6 +106,9 @@
 type WithdrawArgs struct {
 	Caller
 	ID usher.RequestID
+	// Reservation takes back only a reservation of the request; the request
+	// itself may still be submitted.
+	Reservation bool
 	// Cancel also ends the work of a request that was already dispatched.
 	Cancel bool
 }
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -54,6 +54,14 @@
 	Reused Tokens
 }
 
+// ReportedRanks is how many ranks a load report tells the wait of.
+const ReportedRanks = 4
+
+// WaitOf returns the expected wait of a request of a rank.
+func (r *LoadReport) WaitOf(rank Rank) time.Duration {
+	return r.WaitByRank[max(0, min(rank, ReportedRanks-1))]
+}
+
 // LoadReport is what a companion tells of its endpoint on every reply.
 type LoadReport struct {
 	Endpoint EndpointName
@@ -64,11 +72,17 @@
 	Limit int
 	// QueuedWork is the estimated time to work off what is waiting.
 	QueuedWork time.Duration
+	// PrefillBacklog is the expected time of the prompts that the engine has
+	// still to compute before that of a new request.
+	PrefillBacklog time.Duration
 	// PrefillPerToken and DecodePerToken are the measured pace of the engine.
 	PrefillPerToken time.Duration
 	DecodePerToken  time.Duration
-	// LowestKept is the least urgent rank that the companion keeps, waiting or
-	// running; -1 when it keeps nothing.
+	// WaitByRank is the expected wait of a new request behind everything of
+	// its own and more urgent ranks; the last one stands for all ranks above.
+	WaitByRank [ReportedRanks]time.Duration
+	// LowestKept is the least urgent rank that waits at the companion; -1 when
+	// nothing waits.
 	LowestKept Rank
 	Leaving    bool
 	// Taken is when the report was made, by the reader's clock on arrival.
