--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -37,11 +38,13 @@
 // Companion is the state of the process. Its exported methods are in rpc.go.
 type Companion struct {
 	Dependencies
+	reservations *reservations
 	options      Options
 	outlets      *outlets
 	metrics      metrics
-	drain        drain
-	reservations *reservations
+	drain        *drain
+	// stopping is set by a planned stop, which can't be called off.
+	stopping atomic.Bool
 }
 
 type metrics struct {
@@ -60,6 +63,7 @@
 		options:      options,
 		outlets:      newOutlets(),
 		reservations: newReservations(),
+		drain:        newDrain(),
 		metrics: metrics{
 			submitted:  group.Counter("submitted").Add,
 			dispatched: group.Counter("dispatched").Add,
@@ -87,7 +91,7 @@
 	c.metrics.submitted(1)
 	header := args.Header
 	header.Deadline = time.Now().Add(args.Remaining)
-	ctx, cancel := context.WithDeadline(context.Background(), header.Deadline)
+	ctx, cancel := context.WithDeadline(c.outlets.context(args), header.Deadline)
 	entry, fresh := c.Ledger.Open(header, cancel)
 	if !fresh {
 		cancel()
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -14,6 +14,11 @@
 	// freshReport is how old a report may be that spares an endpoint the
 	// question whether it would evict less urgent work.
 	freshReport = 200 * time.Millisecond
+	// reachRounds is how often all endpoints are tried while none of them can
+	// be reached, reachDelay apart: a process that has just started or got a
+	// new configuration connects at the same time as it serves.
+	reachRounds = 4
+	reachDelay  = 50 * time.Millisecond
 	// overloadedRetry is what callers of shed requests are told to wait.
 	overloadedRetry = time.Second
 )
@@ -23,9 +28,10 @@
 type choice struct {
 	entry    *Entry
 	accepted *request
-	// refusals counts the endpoints that refused the request, by kind, and
-	// asked names them.
+	// overloaded and hopeless tell what endpoints refused it for; asked names
+	// them.
 	overloaded bool
+	hopeless   bool
 	asked      [maxAsked]usher.EndpointName
 	count      int
 }
@@ -56,7 +62,15 @@
 			break
 		}
 	}
-	return c.wait(ctx)
+	for range reachRounds {
+		got, final := c.wait(ctx)
+		if final || c.overloaded || c.hopeless || ctx.Err() != nil {
+			return got
+		}
+		c.count = 0
+		sleep(ctx, reachDelay)
+	}
+	return refused(c.shed(ctx))
 }
 
 // rank orders the candidates anew by what is known now.
@@ -67,7 +81,7 @@
 
 // wait lets the request wait at the best endpoint that has not refused it yet,
 // until one answers or all have refused.
-func (c *choice) wait(ctx context.Context) result {
+func (c *choice) wait(ctx context.Context) (result, bool) {
 	for c.count < maxAsked && ctx.Err() == nil {
 		c.rank()
 		first, second := c.open()
@@ -76,11 +90,11 @@
 		}
 		got, final := c.waitAt(ctx, first, second)
 		if final {
-			return got
+			return got, true
 		}
 		c.note(got.refusal)
 	}
-	return refused(c.shed(ctx))
+	return refused(c.shed(ctx)), false
 }
 
 // waitAt keeps the request at first, and crosses off what refused it.
@@ -123,9 +137,11 @@
 }
 
 func (c *choice) note(refusal *usher.Refusal) {
-	if refusal != nil && refusal.Kind == usher.RefusalOverloaded {
-		c.overloaded = true
+	if refusal == nil {
+		return
 	}
+	c.overloaded = c.overloaded || refusal.Kind == usher.RefusalOverloaded
+	c.hopeless = c.hopeless || refusal.Kind == usher.RefusalDeadline
 }
 
 // shed is the refusal of a request that no endpoint keeps.
@@ -135,7 +151,7 @@
 		return usher.NewRefusal(endOf(ctx), "the request ended before an endpoint took it")
 	case c.overloaded:
 		return usher.NewRefusal(usher.RefusalOverloaded, "every endpoint is full and keeps no less urgent work").WithRetryAfter(overloadedRetry)
-	case c.count > 0:
+	case c.hopeless:
 		return usher.NewRefusal(usher.RefusalDeadline, "no endpoint can end the request before its deadline")
 	default:
 		return usher.NewRefusal(usher.RefusalNoEndpoint, "no endpoint can be reached").WithRetryAfter(time.Second)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,8 @@
 	// LateDecision reserves room at a second endpoint for a request that has
 	// to wait.
 	LateDecision bool
+	// Peer is the address of the entry's own peer listener.
+	Peer string
 }
 
 // Dependencies are what an entry works with.
@@ -40,10 +42,11 @@
 // Entry is the state of the process.
 type Entry struct {
 	Dependencies
-	options Options
-	peers   *peers
-	ids     idSource
-	metrics metrics
+	options  Options
+	peers    *peers
+	ids      idSource
+	metrics  metrics
+	inflight inflight
 }
 
 type metrics struct {
@@ -92,5 +95,7 @@
 		"incarnation":   e.options.Incarnation,
 		"configVersion": e.Config.Current().Version,
 		"peers":         e.peers.state(),
+		"inFlight":      e.inflight.count.Load(),
+		"inFlightIds":   e.inflight.ids(maxReported),
 	}
 }
--- a/internal/waiting/room_test.go
+++ b/internal/waiting/room_test.go
@@ -106,6 +106,10 @@
 		} else {
 			slot.FirstToken(time.Millisecond, slot.ticket.header.Cost.PromptTokens)
 		}
+	case "answered":
+		var tokens int
+		d.ScanArgs(t, "tokens", &tokens)
+		b.tickets[usher.RequestID(d.CmdArgs[0].Key)].slot.Answered(usher.Tokens(tokens))
 	case "advance":
 		by, err := time.ParseDuration(d.CmdArgs[0].Key)
 		if err != nil {
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -118,6 +118,9 @@
 	// FirstToken and Token report the engine's pace as it is measured.
 	FirstToken(after time.Duration, prompt Tokens)
 	Token(gap time.Duration)
+	// Answered tells how long a whole answer was. Callers name an upper bound;
+	// estimates need what answers really take.
+	Answered(tokens Tokens)
 	// Release gives the slot back. It may be called more than once.
 	Release()
 }
