Count the prompts ahead against a deadline

Cause: an urgent question was let into an engine that was still computing a ledger's prompt, and missed its deadline inside the engine. Ruled out: keeping more places free; the loss came with free places too. Change: the expected end of the prompts in the engine is held against the deadline and told to the entries. Conclusion: kept; the rest of the urgent loss follows the burst.

--- a/internal/waiting/queries.go
+++ b/internal/waiting/queries.go
@@ -10,12 +10,13 @@
 func (r *Room) Report() usher.LoadReport {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pace.learn(r.now(), r.running, r.saturated())
+	now := r.now()
+	r.pace.learn(now, r.running, r.saturated())
 	prefill, decode := r.pace.perToken()
 	report := usher.LoadReport{
 		Endpoint: r.endpoint, Running: r.running, Waiting: r.line.count,
 		Limit: r.pace.limit(), PrefillPerToken: prefill, DecodePerToken: decode,
-		LowestKept: r.line.leastUrgent(), PrefillBacklog: r.prefill.backlog,
+		LowestKept: r.line.leastUrgent(), PrefillBacklog: r.prefill.backlog(now),
 	}
 	for rank := range report.WaitByRank {
 		report.WaitByRank[rank] = r.wait(r.line.workAbove(usher.Rank(rank) + 1))
--- a/internal/waiting/room.go
+++ b/internal/waiting/room.go
@@ -101,7 +101,7 @@
 	}
 	r.demand.arrived(header.Rank, t.work, now)
 	r.line.charge(t)
-	return r.admit(t), true
+	return r.admit(t, now), true
 }
 
 // Admit implements usher.Admission.
@@ -196,14 +196,14 @@
 			return
 		}
 		r.line.remove(t)
-		r.expect(t)
+		r.expect(t, now)
 		if t.hopeless(now) {
 			r.counts.Hopeless++
 			t.decide(nil, hopelessRefusal())
 			continue
 		}
 		r.line.charge(t)
-		t.decide(r.admit(t), nil)
+		t.decide(r.admit(t, now), nil)
 	}
 }
 
@@ -250,13 +250,13 @@
 	return held
 }
 
-func (r *Room) admit(t *ticket) *slot {
+func (r *Room) admit(t *ticket, now time.Time) *slot {
 	r.running++
 	r.byRank[t.header.Rank]++
 	r.occupied += t.work
 	r.counts.Admitted++
-	t.ahead = r.prefill.backlog
-	r.prefill.begin(t)
+	t.ahead = r.prefill.backlog(now)
+	r.prefill.begin(t, now)
 	s := &slot{room: r, ticket: t}
 	if !t.header.Stream {
 		// Nothing tells when the prefill of a whole answer has ended.
--- a/internal/waiting/ticket.go
+++ b/internal/waiting/ticket.go
@@ -44,17 +44,21 @@
 
 func (r *Room) newTicket(header *usher.RequestHeader, now time.Time) *ticket {
 	t := &ticket{header: header, entered: now, at: -1, decided: make(chan struct{})}
-	r.expect(t)
+	r.expect(t, now)
 	t.key = keyOf(t)
 	return t
 }
 
-// expect sets the expected times of a request by the engine's pace of now. The
-// request must not be in line, whose sums are made of them.
-func (r *Room) expect(t *ticket) {
+// expect sets the expected times of a request by the engine's pace of now, and
+// by the prompts that the engine still has to compute before. The request must
+// not be in line, whose sums are made of them.
+func (r *Room) expect(t *ticket, now time.Time) {
 	expected := r.pace.expect(t.header.Cost)
 	t.prefill, t.work = expected.prefill, expected.whole
 	t.latest = t.header.Deadline.Add(-expected.sure - expected.sure*doubtEighths/8)
+	if expected.sure > 0 {
+		t.latest = t.latest.Add(-r.prefill.backlog(now))
+	}
 }
 
 // keyOf orders the requests of a workspace in a tier. A request is due at its
@@ -92,8 +96,8 @@
 type prefillWindow struct {
 	long  int
 	short usher.Tokens
-	// backlog is the expected time of all prompts on their way.
-	backlog time.Duration
+	// until is when all prompts on their way are expected to be computed.
+	until time.Time
 }
 
 // shortWindow is how many tokens of short prompts may be on their way.
@@ -106,8 +110,13 @@
 	return w.short == 0 || w.short+t.header.Cost.PromptTokens <= shortWindow
 }
 
-func (w *prefillWindow) begin(t *ticket) {
-	w.backlog += t.prefill
+// backlog is the expected time until a prompt that came now would be next.
+func (w *prefillWindow) backlog(now time.Time) time.Duration {
+	return max(0, w.until.Sub(now))
+}
+
+func (w *prefillWindow) begin(t *ticket, now time.Time) {
+	w.until = now.Add(w.backlog(now) + t.prefill)
 	if t.long() {
 		w.long++
 		return
@@ -115,13 +124,15 @@
 	w.short += t.header.Cost.PromptTokens
 }
 
-func (w *prefillWindow) end(t *ticket) {
-	w.backlog -= t.prefill
+func (w *prefillWindow) end(t *ticket, now time.Time) {
 	if t.long() {
 		w.long--
-		return
+	} else {
+		w.short -= t.header.Cost.PromptTokens
+	}
+	if w.long == 0 && w.short == 0 {
+		w.until = now
 	}
-	w.short -= t.header.Cost.PromptTokens
 }
 
 // slot implements usher.Slot.
@@ -153,7 +164,7 @@
 	s.prefilled.Do(func() {
 		s.room.mu.Lock()
 		defer s.room.mu.Unlock()
-		s.room.prefill.end(s.ticket)
+		s.room.prefill.end(s.ticket, s.room.now())
 		s.room.proceed()
 	})
 }
