--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -8,6 +8,7 @@
 
 	"filbertusher/internal/entry"
 	"filbertusher/internal/link"
+	"filbertusher/internal/member"
 	"filbertusher/internal/placement"
 	"filbertusher/internal/record"
 	"filbertusher/pkg/usher"
@@ -27,6 +28,7 @@
 	readinessDelay time.Duration
 	lateDecision   bool
 	subset         int
+	subsetOther    int
 }
 
 func newEntryCommand() *Command {
@@ -40,7 +42,8 @@
 	command.Settings.Duration(&p.bodyTimeout, "body-timeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute, "how long a caller may take to send a request")
 	command.Settings.Duration(&p.readinessDelay, "readiness-delay", time.Second, 0, time.Minute, "how long a planned stop waits for the balancer to notice")
 	command.Settings.Bool(&p.lateDecision, "late-decision", true, "reserve room at a second endpoint for a request that has to wait")
-	command.Settings.Int(&p.subset, "subset", 32, 1, 10000, "how many endpoints of a service this process offers requests to")
+	command.Settings.Int(&p.subset, "endpoints", 16, 1, 10000, "how many endpoints of each service this process works with")
+	command.Settings.Int(&p.subsetOther, "endpoints-elsewhere", 2, 0, 10000, "how many of them are kept in other availability zones")
 	command.Run = p.run
 	return command
 }
@@ -60,11 +63,13 @@
 	if err != nil {
 		return err
 	}
+	subset := member.Subset{Self: p.incarnation, Zone: usher.AvailabilityZone(p.zone), Size: p.subset, Elsewhere: min(p.subset, p.subsetOther)}
+	p.config.Choose(subset.Choose)
 	peerAddress := peerListener.Addr().String()
 	if err := p.follow(ctx, link.NewServer(peerListener), peerAddress, ""); err != nil {
 		return err
 	}
-	placer := placement.New(p.config, usher.AvailabilityZone(p.zone), string(p.incarnation), p.subset)
+	placer := placement.New(p.config, usher.AvailabilityZone(p.zone))
 	recorder := record.NewMemory(recordLimit)
 	server := entry.New(entry.Options{
 		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, Peer: peerAddress, LateDecision: p.lateDecision,
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"filbertusher/internal/wire"
+	"filbertusher/pkg/usher"
 )
 
 // RPC is the companion as its peers see it; net/rpc calls its methods.
@@ -41,6 +42,14 @@
 		reply.Status = r.companion.status()
 		return nil
 	}
+	if args.TakeBack {
+		reply.Outcome = usher.OutcomeUnknown
+		if r.companion.Ledger.TakeBack(args.ID) {
+			reply.Outcome = usher.OutcomeNotRun
+		}
+		reply.Status = r.companion.status()
+		return nil
+	}
 	reply.Outcome = r.companion.Ledger.Withdraw(args.ID, args.Cancel)
 	reply.Status = r.companion.status()
 	return nil
@@ -58,3 +67,15 @@
 	reply.Status = r.companion.status()
 	return nil
 }
+
+// Ticket issues a ticket.
+func (r *RPC) Ticket(args *wire.TicketArgs, reply *wire.TicketReply) error {
+	*reply = r.companion.ticket(args)
+	return nil
+}
+
+// Ping says which incarnation runs here.
+func (r *RPC) Ping(_ *wire.PingArgs, reply *wire.PingReply) error {
+	reply.Status = r.companion.status()
+	return nil
+}
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
@@ -21,6 +22,27 @@
 	args      *wire.SubmitArgs
 	entry     *ledger.Entry
 	cancel    context.CancelFunc
+	// key is the entry of the request's key; nil for requests that may repeat.
+	key *journal.Entry
+	// engineID is the id in the endpoint of a request that was paused; the
+	// endpoint has cancelled the request's own id then.
+	engineID usher.RequestID
+}
+
+// idInEndpoint is the id under which the endpoint knows the request.
+func (w *work) idInEndpoint() usher.RequestID {
+	if w.engineID != "" {
+		return w.engineID
+	}
+	return w.args.Header.ID
+}
+
+// end keeps what came of the request under its id and under its key.
+func (w *work) end(answer *usher.Answer, refusal *usher.Refusal) {
+	w.entry.Finish(answer, refusal)
+	if w.key != nil {
+		w.key.Finish(answer, refusal)
+	}
 }
 
 // admit returns a slot, or a refusal, or neither when there is no room and the
@@ -52,28 +74,34 @@
 	c := w.companion
 	if !w.entry.Dispatch() {
 		w.finished(slot)
+		if w.key != nil {
+			w.key.Finish(nil, usher.NewAttemptRefusal(usher.RefusalCancelled, "the request was withdrawn"))
+		}
 		return c.outcome(w.entry)
 	}
 	c.metrics.dispatched(1)
 	if w.args.Header.Stream {
 		return w.stream(ctx, slot)
 	}
+	answer, slot, elapsed, err := w.call(ctx, slot)
 	defer w.finished(slot)
-	started := time.Now()
-	answer, err := c.Backend.Call(ctx, w.args.Header.ID, c.options.Fence, &w.args.Call)
 	if err != nil {
 		w.cancelInEndpoint()
 		refusal := w.failure(ctx, err)
-		w.entry.Finish(nil, refusal)
+		w.end(nil, refusal)
 		return c.refused(refusal)
 	}
-	observe(slot, time.Since(started), answer.Usage)
-	w.entry.Finish(answer, nil)
+	observe(slot, elapsed, answer.Usage)
+	w.end(answer, nil)
 	return wire.SubmitReply{Status: c.status(), State: wire.StateAnswered, Answer: answer}
 }
 
+// finished gives back what the request held. slot is nil when the request lost
+// its place before it ended.
 func (w *work) finished(slot usher.Slot) {
-	slot.Release()
+	if slot != nil {
+		slot.Release()
+	}
 	w.cancel()
 	w.companion.drain.end()
 }
@@ -101,7 +129,7 @@
 func (w *work) cancelInEndpoint() {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	if err := w.companion.Backend.Cancel(ctx, w.args.Header.ID); err != nil {
+	if err := w.companion.Backend.Cancel(ctx, w.idInEndpoint()); err != nil {
 		w.companion.Log.Debug().Err(err).Str("requestId", string(w.args.Header.ID)).Msg("cancelFailed")
 	}
 }
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -41,8 +41,12 @@
 }
 
 // honest keeps a refusal from promising "not run" when an earlier attempt of
-// the request may have run: that attempt's refusal is the one to tell.
+// the request may have run: that attempt's refusal is the one to tell. One
+// that was made without asking for the key speaks of this attempt only.
 func (r *request) honest(refusal *usher.Refusal) *usher.Refusal {
+	if r.Key != "" && !r.Idempotent && !r.keyed {
+		return refusal.ForAttempt()
+	}
 	if len(r.unsure) == 0 || refusal.Outcome != usher.OutcomeNotRun {
 		return refusal
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,7 @@
 	options  Options
 	peers    *peers
 	ids      idSource
+	views    *views
 	metrics  metrics
 	inflight inflight
 }
@@ -67,6 +68,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		ids:          newIDSource(),
+		views:        newViews(),
 		metrics: metrics{
 			requests: group.Counter("requests").Add,
 			answered: group.Counter("answered").Add,
--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -72,15 +72,22 @@
 
 // moveTo takes the request back from first and dispatches it at second.
 func (c *choice) moveTo(ctx context.Context, first, second usher.EndpointName, grant uint64, done chan offered) (result, bool) {
-	if !c.entry.takeBack(c.accepted.ID, first) {
+	taken := c.entry.takeBack(c.accepted.ID, first)
+	if !taken {
 		c.entry.release(c.accepted.ID, second)
-		got := <-done
-		return got.result, got.final
 	}
-	if got := <-done; got.final && !tookBack(got.refusal) {
-		// The answer was on its way when the request was taken back.
-		c.entry.release(c.accepted.ID, second)
-		return got.result, true
+	// The offer ends in any case: with the answer when first had dispatched
+	// it, else because it was taken back. The reply that says so can be lost
+	// while the withdrawal was not.
+	got := <-done
+	switch {
+	case !tookBack(got.refusal) && (got.final || !taken):
+		if taken {
+			c.entry.release(c.accepted.ID, second)
+		}
+		return got.result, got.final
+	case !taken:
+		return result{}, false
 	}
 	c.entry.metrics.moved(1)
 	c.crossOff(second)
@@ -125,7 +132,7 @@
 // run. A request that was dispatched already goes on.
 func (e *Entry) takeBack(id usher.RequestID, endpoint usher.EndpointName) bool {
 	reply := &wire.WithdrawReply{}
-	args := &wire.WithdrawArgs{Caller: e.caller(), ID: id}
+	args := &wire.WithdrawArgs{Caller: e.caller(), ID: id, TakeBack: true}
 	return e.withdrawAt(endpoint, args, reply) && reply.Outcome == usher.OutcomeNotRun
 }
 
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -112,15 +112,33 @@
 	return outcome
 }
 
+// TakeBack ends a request that waits here, so that it can be run elsewhere, and
+// forgets it: the caller has the reply to its offer before it offers the
+// request here again. It returns false, and changes nothing, when the request
+// does not wait here; a message that is still under way is not overtaken.
+func (l *Ledger) TakeBack(id usher.RequestID) bool {
+	l.mu.Lock()
+	entry, ok := l.entries[id]
+	if !ok || entry.state != StateWaiting {
+		l.mu.Unlock()
+		return false
+	}
+	entry.withdraw(true)
+	delete(l.entries, id)
+	l.mu.Unlock()
+	entry.cancel()
+	return true
+}
+
 // withdraw needs the ledger's lock. It says whether the work has to be ended.
 func (e *Entry) withdraw(cancel bool) (usher.Outcome, bool) {
 	switch e.state {
 	case StateWaiting:
 		e.refusal = usher.NewRefusal(usher.RefusalCancelled, "the request was withdrawn")
 		e.end(StateWithdrawn)
-		return usher.OutcomeNotRun, true
+		return e.withdrawn(), true
 	case StateWithdrawn:
-		return usher.OutcomeNotRun, false
+		return e.withdrawn(), false
 	case StateDispatched:
 		return usher.OutcomeUnknown, cancel
 	}
@@ -130,6 +148,15 @@
 	return usher.OutcomeRan, false
 }
 
+// withdrawn is what a withdrawal promises. The id will not run, but a key that
+// may run only once can have run under another id.
+func (e *Entry) withdrawn() usher.Outcome {
+	if e.Header.Key != "" && !e.Header.Idempotent {
+		return usher.OutcomeUnknown
+	}
+	return usher.OutcomeNotRun
+}
+
 // Dispatch marks the request as dispatched, just before it is sent to the
 // endpoint. It returns false when the request was withdrawn.
 func (e *Entry) Dispatch() bool {
@@ -210,7 +237,10 @@
 	cut := now.Add(-l.retention)
 	gone := 0
 	for gone < len(l.ended) && l.ended[gone].ended.Before(cut) {
-		delete(l.entries, l.ended[gone].Header.ID)
+		// An id that was taken back may be in use again.
+		if id := l.ended[gone].Header.ID; l.entries[id] == l.ended[gone] {
+			delete(l.entries, id)
+		}
 		l.ended[gone] = nil
 		gone++
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -24,8 +24,6 @@
 type Placer struct {
 	config *config.Holder
 	zone   usher.AvailabilityZone
-	seed   string
-	subset int
 	now    func() time.Time
 	prefix *prefixTable
 
@@ -74,11 +72,8 @@
 )
 
 // New returns a placer for a process in zone.
-//
-// seed tells processes apart: with more endpoints than subset, each process
-// chooses others.
-func New(holder *config.Holder, zone usher.AvailabilityZone, seed string, subset int) *Placer {
-	p := &Placer{config: holder, zone: zone, seed: seed, subset: subset, now: time.Now, prefix: newPrefixTable(prefixSets)}
+func New(holder *config.Holder, zone usher.AvailabilityZone) *Placer {
+	p := &Placer{config: holder, zone: zone, now: time.Now, prefix: newPrefixTable(prefixSets)}
 	p.table.Store(&table{snapshot: config.Empty()})
 	return p
 }
@@ -96,16 +91,16 @@
 	if old.snapshot == snapshot {
 		return old
 	}
-	built := p.build(snapshot, old)
+	built := build(snapshot, old)
 	p.table.Store(built)
 	return built
 }
 
-func (p *Placer) build(snapshot *config.Snapshot, old *table) *table {
+func build(snapshot *config.Snapshot, old *table) *table {
 	t := &table{
 		snapshot:  snapshot,
 		byName:    make(map[usher.EndpointName]*view, len(snapshot.Endpoints)),
-		byService: make(map[usher.ServiceName][]*view, len(snapshot.ByService)),
+		byService: make(map[usher.ServiceName][]*view, len(snapshot.Near)),
 	}
 	taken := make(map[uint16]bool, len(snapshot.Endpoints))
 	for name := range snapshot.Endpoints {
@@ -114,7 +109,7 @@
 		}
 	}
 	next := uint16(0)
-	for service, endpoints := range snapshot.ByService {
+	for service, endpoints := range snapshot.Near {
 		views := make([]*view, 0, len(endpoints))
 		for _, endpoint := range endpoints {
 			v := &view{name: endpoint.Name, zone: endpoint.AvailabilityZone, leaving: endpoint.Leaving}
@@ -127,7 +122,7 @@
 			t.byName[endpoint.Name] = v
 			views = append(views, v)
 		}
-		t.byService[service] = p.choose(views)
+		t.byService[service] = views
 	}
 	return t
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -16,6 +16,7 @@
 	"pgregory.net/rapid"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/member"
 	"filbertusher/pkg/usher"
 )
 
@@ -24,8 +25,10 @@
 func newPlacer(t testing.TB, endpoints []usher.Endpoint, now *time.Time) (*Placer, *config.Holder) {
 	t.Helper()
 	holder := config.NewHolder()
+	subset := member.Subset{Self: "process", Zone: "a", Size: 16, Elsewhere: 2}
+	holder.Choose(subset.Choose)
 	offer(t, holder, endpoints, 1)
-	p := New(holder, "a", "seed", 32)
+	p := New(holder, "a")
 	p.now = func() time.Time { return *now }
 	return p, holder
 }
@@ -142,7 +145,7 @@
 		}
 		now := time.Unix(1000, 0)
 		holder := config.NewHolder()
-		p := New(holder, "a", "seed", 32)
+		p := New(holder, "a")
 		p.now = func() time.Time { return now }
 		offerRapid(t, holder, endpoints)
 		plain := make(map[usher.EndpointName]*plainView)
@@ -344,65 +347,6 @@
 	}
 }
 
-// TestSubsetsCoverAllEndpoints has as many processes as the target: every
-// endpoint is used, none by more than three times its part, the own zone goes
-// first, and an endpoint that goes changes one place of a subset.
-func TestSubsetsCoverAllEndpoints(t *testing.T) {
-	const processes, subset = 330, 16
-	now := time.Unix(0, 0)
-	endpoints := targetEndpoints(51, 1)
-	used := make(map[usher.EndpointName]int)
-	for process := range processes {
-		p, holder := newPlacer(t, endpoints, &now)
-		p.seed, p.subset = strconv.Itoa(process), subset
-		p.zone = usher.AvailabilityZone(string(rune('a' + process%5)))
-		first := names(p)
-		local := 0
-		for name := range first {
-			used[name]++
-			if zoneOf(endpoints, name) == p.zone {
-				local++
-			}
-		}
-		if local < 10 {
-			t.Fatalf("process %d uses %d endpoints of its own zone", process, local)
-		}
-		offer(t, holder, endpoints[:50], 2)
-		changed := 0
-		for name := range names(p) {
-			if !first[name] {
-				changed++
-			}
-		}
-		if changed > 1 {
-			t.Fatalf("process %d changed %d endpoints", process, changed)
-		}
-	}
-	for _, endpoint := range endpoints {
-		part := processes * subset / len(endpoints)
-		if n := used[endpoint.Name]; n == 0 || n > 3*part {
-			t.Errorf("%s is used by %d processes, its part is %d", endpoint.Name, n, part)
-		}
-	}
-}
-
-func names(p *Placer) map[usher.EndpointName]bool {
-	found := make(map[usher.EndpointName]bool)
-	for _, v := range p.current().byService["s0"] {
-		found[v.name] = true
-	}
-	return found
-}
-
-func zoneOf(endpoints []usher.Endpoint, name usher.EndpointName) usher.AvailabilityZone {
-	for _, endpoint := range endpoints {
-		if endpoint.Name == name {
-			return endpoint.AvailabilityZone
-		}
-	}
-	return ""
-}
-
 // TestNoAllocationOnThePath is the part of the benchmark that CI checks.
 func TestNoAllocationOnThePath(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/internal/standin/commands/experiment.go
+++ b/internal/standin/commands/experiment.go
@@ -38,7 +38,8 @@
 	c.Settings.Int(&f.Entries, "entries", 2, 1, 100, "entries")
 	c.Settings.Bool(&f.SlowEngine, "slow-engine", true, "slow the first engine fivefold midway")
 	c.Settings.Bool(&f.Burst, "burst", true, "double the arrivals for a fifth of the run")
-	c.Settings.Text(&f.companionArg, "companion-args", "", false, "flags added to the companions of the policy ours, by commas")
+	c.Settings.Bool(&f.Preemption, "preemption", true, "put a preset in force that allows preemption")
+	c.Settings.Text(&f.companionArg, "companion-args", "--token-pace=40ms", false, "flags added to the companions of the policy ours, by commas")
 	c.Settings.Text(&f.entryArg, "entry-args", "", false, "flags added to the entries of the policy ours, by commas")
 	c.Run = f.run
 	return c
--- a/internal/standin/engine/request.go
+++ b/internal/standin/engine/request.go
@@ -28,6 +28,7 @@
 	prefillLeft usher.Tokens
 	prefilled   usher.Tokens
 	cached      usher.Tokens
+	exported    usher.Tokens
 	decodes     bool
 	stored      bool
 
--- a/internal/waiting/room.go
+++ b/internal/waiting/room.go
@@ -33,6 +33,8 @@
 	// Share weighs a workspace against others inside a tier. It is called
 	// with the room locked and must not block.
 	Share func(usher.WorkspaceName) int
+	// Preempt says whether the preset in force allows preemption; nil forbids.
+	Preempt func() bool
 }
 
 // Room admits requests by tier, then by workspace, then by deadline and size.
@@ -53,6 +55,7 @@
 	occupied time.Duration
 	prefill  prefillWindow
 	demand   demand
+	preempt  preemption
 	// byRank counts what runs, for the places that are kept for more urgent
 	// tiers.
 	byRank map[usher.Rank]int
@@ -69,6 +72,7 @@
 	Full      int64 `json:"full"`
 	Evicted   int64 `json:"evicted"`
 	Withdrawn int64 `json:"withdrawn"`
+	Preempted int64 `json:"preempted"`
 }
 
 // defaultWaitingTokens bounds the prompts that wait when no bound is set.
@@ -85,7 +89,8 @@
 	return &Room{
 		endpoint: endpoint, options: options, now: time.Now,
 		pace: newPace(&options), line: newLine(options.Share),
-		byRank: make(map[usher.Rank]int),
+		byRank:  make(map[usher.Rank]int),
+		preempt: preemption{candidates: make(map[*slot]struct{})},
 	}
 }
 
@@ -112,19 +117,48 @@
 	}
 	// The request is refused at the last moment at which it could be let in
 	// and still end in time, and not only when its deadline has passed.
-	latest := time.NewTimer(t.latest.Sub(r.now()))
+	latest := time.NewTimer(0)
 	defer latest.Stop()
-	select {
-	case <-t.decided:
-	case <-latest.C:
-		r.leave(t, hopelessRefusal())
-	case <-ctx.Done():
-		r.leave(t, waitEnded(ctx))
+	for {
+		select {
+		case <-t.decided:
+			if t.refusal != nil {
+				return nil, t.refusal
+			}
+			return t.slot, nil
+		case <-latest.C:
+			if left := r.left(t); left > 0 {
+				latest.Reset(left)
+				continue
+			}
+			r.leave(t, hopelessRefusal())
+			return r.afterLeave(t, hopelessRefusal())
+		case <-ctx.Done():
+			refusal := waitEnded(ctx)
+			r.leave(t, refusal)
+			return r.afterLeave(t, refusal)
+		}
 	}
-	if t.refusal != nil {
-		return nil, t.refusal
+}
+
+// left is how long the request can wait yet by the engine's pace of now.
+func (r *Room) left(t *ticket) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	t.latest = r.latest(t.header, now)
+	return t.latest.Sub(now)
+}
+
+// afterLeave ends a request that left. One that was admitted at the same
+// moment gives its slot back.
+func (r *Room) afterLeave(t *ticket, refusal *usher.Refusal) (usher.Slot, error) {
+	<-t.decided
+	if t.slot != nil {
+		t.slot.Release()
+		return nil, refusal
 	}
-	return t.slot, nil
+	return nil, t.refusal
 }
 
 // enter puts a request in line, or returns why it can't wait here.
@@ -163,25 +197,19 @@
 	return true
 }
 
-// leave takes a request out of line, unless it was decided already. A request
-// that was admitted at the same moment gives its slot back.
+// leave takes a request out of line, unless it was decided already.
 func (r *Room) leave(t *ticket, refusal *usher.Refusal) {
 	r.mu.Lock()
-	waiting := r.line.remove(t)
-	if waiting {
-		if refusal.Kind == usher.RefusalDeadline {
-			r.counts.Hopeless++
-		} else {
-			r.counts.Withdrawn++
-		}
-		t.decide(nil, refusal)
+	defer r.mu.Unlock()
+	if !r.line.remove(t) {
+		return
 	}
-	r.mu.Unlock()
-	<-t.decided
-	if !waiting && t.slot != nil {
-		t.slot.Release()
-		t.slot, t.refusal = nil, refusal
+	if refusal.Kind == usher.RefusalDeadline {
+		r.counts.Hopeless++
+	} else {
+		r.counts.Withdrawn++
 	}
+	t.decide(nil, refusal)
 }
 
 // admitNext lets in what fits, most urgent first.
@@ -193,6 +221,7 @@
 	for {
 		t := r.next(now)
 		if t == nil {
+			r.askFor()
 			return
 		}
 		r.line.remove(t)
@@ -218,8 +247,12 @@
 				continue
 			case t.hopeless(now) || r.fits(t, kept, now):
 				return t
-			case long && t.long():
+			case t.long():
+				// Counted once: the second look is at short prompts only.
 				kept++
+			default:
+				// Not even a short prompt fits, so nothing less urgent may.
+				return nil
 			}
 		}
 	}
--- a/internal/waiting/room_test.go
+++ b/internal/waiting/room_test.go
@@ -79,6 +79,8 @@
 	d.MaybeScanArgs(t, "running", &o.Running)
 	d.MaybeScanArgs(t, "waiting", &o.Waiting)
 	o.Fixed = d.HasArg("fixed")
+	preempt := d.HasArg("preempt")
+	o.Preempt = func() bool { return preempt }
 	heavy := ""
 	d.MaybeScanArgs(t, "heavy", &heavy)
 	o.Share = func(name usher.WorkspaceName) int {
@@ -110,6 +112,12 @@
 		var tokens int
 		d.ScanArgs(t, "tokens", &tokens)
 		b.tickets[usher.RequestID(d.CmdArgs[0].Key)].slot.Answered(usher.Tokens(tokens))
+	case "pausable":
+		for _, arg := range d.CmdArgs {
+			b.tickets[usher.RequestID(arg.Key)].slot.Preempted()
+		}
+	case "asked":
+		return b.asked()
 	case "advance":
 		by, err := time.ParseDuration(d.CmdArgs[0].Key)
 		if err != nil {
@@ -129,6 +137,18 @@
 	return b.drain()
 }
 
+// asked lists the running requests whose places are asked for.
+func (b *bench) asked() string {
+	var names []string
+	for s := range b.room.preempt.candidates {
+		if s.asked {
+			names = append(names, string(s.ticket.header.ID)+"\n")
+		}
+	}
+	sort.Strings(names)
+	return strings.Join(names, "")
+}
+
 func (b *bench) tokens(t *testing.T, d *datadriven.TestData) {
 	var gapText, forText string
 	d.ScanArgs(t, "gap", &gapText)
--- a/internal/waiting/ticket.go
+++ b/internal/waiting/ticket.go
@@ -55,10 +55,16 @@
 func (r *Room) expect(t *ticket, now time.Time) {
 	expected := r.pace.expect(t.header.Cost)
 	t.prefill, t.work = expected.prefill, expected.whole
-	t.latest = t.header.Deadline.Add(-expected.sure - expected.sure*doubtEighths/8)
-	if expected.sure > 0 {
-		t.latest = t.latest.Add(-r.prefill.backlog(now))
+	t.latest = r.latest(t.header, now)
+}
+
+// latest is when a request has to be let in to end before its deadline.
+func (r *Room) latest(header *usher.RequestHeader, now time.Time) time.Time {
+	sure := r.pace.expect(header.Cost).sure
+	if sure == 0 {
+		return header.Deadline
 	}
+	return header.Deadline.Add(-sure - sure*doubtEighths/8 - r.prefill.backlog(now))
 }
 
 // keyOf orders the requests of a workspace in a tier. A request is due at its
@@ -143,6 +149,9 @@
 
 	prefilled sync.Once
 	released  sync.Once
+	// preempted is closed when the place is asked for, which asked notes.
+	preempted chan struct{}
+	asked     bool
 }
 
 // FirstToken implements usher.Slot.
@@ -178,6 +187,7 @@
 		s.prefillEnded()
 		s.room.mu.Lock()
 		defer s.room.mu.Unlock()
+		s.room.preempt.gone(s)
 		s.room.running--
 		s.room.byRank[s.ticket.header.Rank]--
 		s.room.occupied -= s.ticket.work
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -20,6 +20,8 @@
 	MethodReserve  = "Companion.Reserve"
 	MethodWithdraw = "Companion.Withdraw"
 	MethodCollect  = "Companion.Collect"
+	MethodTicket   = "Companion.Ticket"
+	MethodPing     = "Companion.Ping"
 	MethodSnapshot = "Peer.Snapshot"
 	MethodPage     = "Peer.Page"
 )
@@ -57,6 +59,15 @@
 	// Stream is the number under which the events of a streamed answer are
 	// delivered to the calling incarnation by Collect.
 	Stream uint64
+	// Slot is what the entry knows of the slot of a key that may run only once.
+	Slot SlotView
+}
+
+// SlotView is where a slot is held and how far its holder had come.
+type SlotView struct {
+	Holder usher.EndpointName
+	Fence  usher.Fence
+	Epoch  uint64
 }
 
 // SubmitState says what became of an offered request.
@@ -71,6 +82,9 @@
 	StateStreaming
 	// StateRefused means that Refusal says why there is no answer.
 	StateRefused
+	// StateElsewhere means that nothing was kept: the request has to be sent
+	// to the holder in Slot, which may be the same companion, with that view.
+	StateElsewhere
 	// StateNotKnown means that this incarnation never saw the request; only in
 	// the reply to FetchArgs. The request may still be on its way.
 	StateNotKnown
@@ -82,6 +96,8 @@
 	State   SubmitState
 	Answer  *usher.Answer
 	Refusal *usher.Refusal
+	// Slot is the newest view of the slot, for requests that have one.
+	Slot SlotView
 }
 
 // FetchArgs asks for the outcome of a request that was submitted before, for
@@ -113,6 +129,9 @@
 type WithdrawArgs struct {
 	Caller
 	ID usher.RequestID
+	// TakeBack ends the request only if it waits, to be run elsewhere. The
+	// outcome is OutcomeUnknown when it does not wait.
+	TakeBack bool
 	// Reservation takes back only a reservation of the request; the request
 	// itself may still be submitted.
 	Reservation bool
@@ -210,3 +229,24 @@
 	Status
 	Objects []usher.Object
 }
+
+// TicketArgs asks for a ticket.
+type TicketArgs struct {
+	Caller
+	Workspace usher.WorkspaceName
+	Service   usher.ServiceName
+}
+
+// TicketReply carries a ticket or says why there is none.
+type TicketReply struct {
+	Status
+	Ticket  usher.IdempotencyKey
+	Expires time.Duration
+	Refusal *usher.Refusal
+}
+
+// PingArgs asks a companion whether it still runs.
+type PingArgs struct{ Caller }
+
+// PingReply answers PingArgs; all is in the status.
+type PingReply struct{ Status }
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -121,6 +121,9 @@
 	// Answered tells how long a whole answer was. Callers name an upper bound;
 	// estimates need what answers really take.
 	Answered(tokens Tokens)
+	// Preempted declares that the request can give its place back and run
+	// again later. The channel is closed when the place is asked for.
+	Preempted() <-chan struct{}
 	// Release gives the slot back. It may be called more than once.
 	Release()
 }
