--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -32,6 +32,8 @@
 	protocol        string
 	running         int
 	waiting         int
+	waitingTokens   int
+	tokenPace       time.Duration
 	retention       time.Duration
 	recordSilence   time.Duration
 	recordLimit     int
@@ -50,8 +52,10 @@
 	command.Settings.Text(&p.endpointName, "endpoint", "", true, "the name of the endpoint's declaration")
 	command.Settings.Address(&p.endpointAddress, "endpoint-address", "", true, "where the endpoint itself is reached")
 	command.Settings.Choice(&p.protocol, "protocol", string(usher.ServiceModel), []string{string(usher.ServiceModel), string(usher.ServicePlain)}, "how the endpoint is spoken to")
-	command.Settings.Int(&p.running, "max-running", 32, 1, 4096, "how many requests may be in the endpoint at once")
-	command.Settings.Int(&p.waiting, "max-waiting", 10000, 0, 1000000, "how many requests may wait for the endpoint")
+	command.Settings.Int(&p.running, "max-running", 256, 1, 4096, "how many requests may be in the endpoint at once; for model engines fewer are let in, as their pace allows")
+	command.Settings.Duration(&p.tokenPace, "token-pace", 25*time.Millisecond, time.Millisecond, time.Minute, "the mean time between two tokens of an answer that is not to be passed")
+	command.Settings.Int(&p.waiting, "max-waiting", 1000, 0, 1000000, "how many requests may wait for the endpoint")
+	command.Settings.Int(&p.waitingTokens, "max-waiting-tokens", 4<<20, 1, 1<<30, "how many prompt tokens the waiting requests may have together")
 	command.Settings.Duration(&p.retention, "retention", 10*time.Minute, time.Second, 24*time.Hour, "how long ended requests are remembered")
 	command.Settings.Duration(&p.recordSilence, "record-silence", 30*time.Second, 100*time.Millisecond, time.Hour, "how long an entry may be silent before its part of the record is stored from here; three times the entries' record-interval or more")
 	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what copies for the record may take in memory, in bytes")
@@ -106,6 +110,10 @@
 	keeper := record.NewKeeper(record.KeeperOptions{
 		Incarnation: p.incarnation, Silence: p.recordSilence, Limit: int64(p.recordLimit),
 	}, p.store, p.log)
+	room := waiting.New(name, waiting.Options{
+		Running: p.running, Waiting: p.waiting, WaitingTokens: usher.Tokens(p.waitingTokens),
+		TokenPace: p.tokenPace, Fixed: p.protocol == string(usher.ServicePlain), Share: p.config.ShareOf, Preempt: p.config.Preempts,
+	})
 	fence := companion.NewFence(p.store, name, p.incarnation, p.log)
 	beside := companion.New(companion.Options{
 		Endpoint: name, Incarnation: p.incarnation,
@@ -113,10 +121,11 @@
 	}, companion.Dependencies{
 		Journal: p.book(name), Fence: fence.Current,
 		Config: p.config, Backend: p.backend(),
-		Admission: waiting.New(name, waiting.Options{Running: p.running, Waiting: p.waiting}),
+		Admission: room,
 		Ledger:    ledger.New(p.retention), Keeper: keeper, Log: p.log,
 	})
 	p.admin.Section("companion", beside.State)
+	p.admin.Section("admission", room.State)
 	p.admin.Section("record", keeper.State)
 	server := link.NewServer(listener)
 	if err := server.Register("Companion", companion.NewRPC(beside)); err != nil {
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -29,6 +29,7 @@
 	readinessDelay time.Duration
 	record         record.Options
 	recordLimit    int
+	lateDecision   bool
 	subset         int
 	subsetOther    int
 }
@@ -47,7 +48,8 @@
 	command.Settings.Duration(&p.record.Interval, "record-interval", 10*time.Second, 50*time.Millisecond, time.Minute, "how long decisions are gathered before they are stored in the record")
 	command.Settings.Float(&p.record.WritesPerSecond, "record-writes", 100, 0.1, 100000, "the share of the store's writes a second that all entries together use for the record")
 	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what the record may hold in memory while it can't be stored, in bytes")
-	command.Settings.Int(&p.subset, "endpoints", 8, 1, 10000, "how many endpoints of each service this process works with")
+	command.Settings.Int(&p.subset, "endpoints", 16, 1, 10000, "how many endpoints of each service this process works with")
+	command.Settings.Bool(&p.lateDecision, "late-decision", true, "reserve room at a second endpoint for a request that has to wait")
 	command.Settings.Int(&p.subsetOther, "endpoints-elsewhere", 2, 0, 10000, "how many of them are kept in other availability zones")
 	command.Run = p.run
 	return command
@@ -79,7 +81,7 @@
 	p.record.Limit = int64(p.recordLimit)
 	recorder := record.NewRecorder(p.record, p.store, p.incarnation, p.log)
 	server := entry.New(entry.Options{
-		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, Peer: peerAddress,
+		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, Peer: peerAddress, LateDecision: p.lateDecision,
 	}, entry.Dependencies{Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
 	p.admin.Section("entry", server.State)
 	p.admin.Section("placement", placer.State)
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -67,6 +67,14 @@
 	Reused Tokens `json:"reused,omitempty"`
 }
 
+// ReportedRanks is how many ranks a load report tells the wait of.
+const ReportedRanks = 4
+
+// WaitOf returns the expected wait of a request of a rank.
+func (r *LoadReport) WaitOf(rank Rank) time.Duration {
+	return r.WaitByRank[max(0, min(rank, ReportedRanks-1))]
+}
+
 // LoadReport is what a companion tells of its endpoint on every reply.
 type LoadReport struct {
 	Endpoint EndpointName
@@ -77,11 +85,17 @@
 	Limit int
 	// QueuedWork is the estimated time to work off what is waiting.
 	QueuedWork time.Duration
+	// PrefillBacklog is the expected time of the prompts that the engine has
+	// still to compute before that of a new request.
+	PrefillBacklog time.Duration
 	// PrefillPerToken and DecodePerToken are the measured pace of the engine.
 	PrefillPerToken time.Duration
 	DecodePerToken  time.Duration
-	// LowestKept is the least urgent rank that the companion keeps, waiting or
-	// running; -1 when it keeps nothing.
+	// WaitByRank is the expected wait of a new request behind everything of
+	// its own and more urgent ranks; the last one stands for all ranks above.
+	WaitByRank [ReportedRanks]time.Duration
+	// LowestKept is the least urgent rank that waits at the companion; -1 when
+	// nothing waits.
 	LowestKept Rank
 	Leaving    bool
 	// Taken is when the report was made, by the reader's clock on arrival.
@@ -117,6 +131,12 @@
 	// FirstToken and Token report the engine's pace as it is measured.
 	FirstToken(after time.Duration, prompt Tokens)
 	Token(gap time.Duration)
+	// Answered tells how long a whole answer was. Callers name an upper bound;
+	// estimates need what answers really take.
+	Answered(tokens Tokens)
+	// Preempted declares that the request can give its place back and run
+	// again later. The channel is closed when the place is asked for.
+	Preempted() <-chan struct{}
 	// Release gives the slot back. It may be called more than once.
 	Release()
 }
