Pause only what still ends in time; let lower tiers in with more time left

Ruled out: pausing without a limit of time. Change: only a request that could wait once more for as long as it takes is paused; a request is let in only with half its expected time to spare.

--- a/internal/waiting/preempt.go
+++ b/internal/waiting/preempt.go
@@ -44,7 +44,7 @@
 }
 
 // askFor asks for places for the most urgent requests that wait.
-func (r *Room) askFor() {
+func (r *Room) askFor(now time.Time) {
 	if r.options.Preempt == nil || len(r.preempt.candidates) == 0 || r.running < r.pace.limit() || !r.options.Preempt() {
 		return
 	}
@@ -55,15 +55,15 @@
 		if r.wait(r.line.workAbove(t.rank+1)) < preemptWait {
 			return
 		}
-		r.askMany(t.rank, t.count-r.preempt.asked)
+		r.askMany(t.rank, now, t.count-r.preempt.asked)
 		return
 	}
 }
 
 // askMany asks for a number of places, as far as there are some to be had.
-func (r *Room) askMany(rank usher.Rank, places int) {
+func (r *Room) askMany(rank usher.Rank, now time.Time, places int) {
 	for range places {
-		if !r.askOne(rank) {
+		if !r.askOne(rank, now) {
 			return
 		}
 	}
@@ -71,10 +71,10 @@
 
 // askOne asks the least urgent running request below rank that came last. It
 // returns false when there is none.
-func (r *Room) askOne(rank usher.Rank) bool {
+func (r *Room) askOne(rank usher.Rank, now time.Time) bool {
 	var victim *slot
 	for s := range r.preempt.candidates {
-		if s.asked || s.ticket.header.Rank <= rank {
+		if s.asked || s.ticket.header.Rank <= rank || !r.canPause(s, now) {
 			continue
 		}
 		if victim == nil || s.later(victim) {
@@ -91,10 +91,20 @@
 	return true
 }
 
+// canPause says whether a request would still end in time if it waited for as
+// long as it takes and then ran from the start. Pausing any other one would
+// lose its prefill instead of keeping it.
+func (r *Room) canPause(s *slot, now time.Time) bool {
+	return now.Add(s.ticket.work).Before(r.latest(s.ticket.header, now))
+}
+
 // later says whether a request goes before another one.
 func (s *slot) later(other *slot) bool {
 	if s.ticket.header.Rank != other.ticket.header.Rank {
 		return s.ticket.header.Rank > other.ticket.header.Rank
 	}
-	return s.ticket.entered.After(other.ticket.entered)
+	if !s.ticket.entered.Equal(other.ticket.entered) {
+		return s.ticket.entered.After(other.ticket.entered)
+	}
+	return s.ticket.header.ID > other.ticket.header.ID
 }
--- a/internal/waiting/room.go
+++ b/internal/waiting/room.go
@@ -221,7 +221,7 @@
 	for {
 		t := r.next(now)
 		if t == nil {
-			r.askFor()
+			r.askFor(now)
 			return
 		}
 		r.line.remove(t)
--- a/internal/waiting/ticket.go
+++ b/internal/waiting/ticket.go
@@ -36,10 +36,12 @@
 	// stretch is how many times its own expected time a request may be held
 	// back for shorter ones that came later.
 	stretch = 4
-	// doubt is added to the expected time when it is held against a deadline,
-	// in eighths, because a prompt that is computed for an answer that comes
-	// too late is lost work.
-	doubtEighths = 1
+	// doubtEighths is added to the expected time when it is held against a
+	// deadline, in eighths, because a prompt that is computed for an answer
+	// that comes too late is lost work. Under overload most requests are let in
+	// at the last moment, so the doubt decides how much is lost; what is
+	// refused for it makes room for one that came later and has more time.
+	doubtEighths = 4
 )
 
 func (r *Room) newTicket(header *usher.RequestHeader, now time.Time) *ticket {
