--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -40,8 +40,27 @@
 	return nil
 }
 
-// Withdraw takes a request back.
+// Reserve asks for room for a request without its body.
+func (r *RPC) Reserve(args *wire.ReserveArgs, reply *wire.ReserveReply) error {
+	*reply = r.companion.reserve(args)
+	return nil
+}
+
+// Withdraw takes a request or a reservation back.
 func (r *RPC) Withdraw(args *wire.WithdrawArgs, reply *wire.WithdrawReply) error {
+	if args.Reservation {
+		r.companion.reservations.withdraw(args.ID)
+		reply.Status = r.companion.status()
+		return nil
+	}
+	if args.TakeBack {
+		reply.Outcome = usher.OutcomeUnknown
+		if r.companion.Ledger.TakeBack(args.ID) {
+			reply.Outcome = usher.OutcomeNotRun
+		}
+		reply.Status = r.companion.status()
+		return nil
+	}
 	reply.Outcome = r.companion.Ledger.Withdraw(args.ID, args.Cancel)
 	reply.Status = r.companion.status()
 	return nil
@@ -56,6 +75,7 @@
 	outlet := r.companion.outlets.of(args.Incarnation)
 	reply.Session = outlet.session
 	reply.Batch, reply.Events = outlet.collect(args.Session, args.Ack, args.Wait)
+	r.companion.metrics.events(int64(len(reply.Events)))
 	reply.Status = r.companion.status()
 	return nil
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -209,6 +209,10 @@
 	e.mu.Lock()
 	done := int(request.prefilled+request.cached) * usher.BytesPerToken / blockBytes
 	blocks := request.blocks[:min(done, len(request.blocks))]
+	if len(blocks) > 0 && !request.finished {
+		request.exported = request.prefilled
+		e.exported[blocks[len(blocks)-1]] = request.prefilled
+	}
 	e.mu.Unlock()
 	writeJSON(w, blocks)
 }
@@ -221,6 +225,9 @@
 	}
 	e.mu.Lock()
 	e.cache.insert(blocks)
+	if len(blocks) > 0 {
+		delete(e.exported, blocks[len(blocks)-1])
+	}
 	e.totals.ImportedBlocks += int64(len(blocks))
 	e.mu.Unlock()
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -134,6 +134,12 @@
 type WithdrawArgs struct {
 	Caller
 	ID usher.RequestID
+	// TakeBack ends the request only if it waits, to be run elsewhere. The
+	// outcome is OutcomeUnknown when it does not wait.
+	TakeBack bool
+	// Reservation takes back only a reservation of the request; the request
+	// itself may still be submitted.
+	Reservation bool
 	// Cancel also ends the work of a request that was already dispatched.
 	Cancel bool
 }
