--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -121,6 +121,9 @@
 			revision = 0
 			continue
 		}
+		if ctx.Err() != nil {
+			return
+		}
 		s.log.Warn().Err(err).Msg("storeUnavailable")
 		pause(ctx, jittered(delay))
 		delay = min(2*delay, maxRetry)
