--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOL     := $(GO) tool -modfile=tools/go.mod
 PACKAGES := ./...
 
-.PHONY: experiment-short all build test unit race fmt fmt-check lint vet demo bench experiment soak scale clean
+.PHONY: experiment-short report all build test unit race fmt fmt-check lint vet demo bench experiment soak scale clean
 
 all: build
 
@@ -68,6 +68,10 @@
 	./bin/standin experiment -binary ./bin/filbertusher -previous out/previous/filbertusher \
 		-policies ours,previous,roundRobin,leastLoad
 
+# report plots the results of an experiment.
+report: build
+	./bin/standin report -input out/experiment.jsonl -output out/report.html
+
 experiment-short: build out/previous/filbertusher
 	./bin/standin experiment -binary ./bin/filbertusher -previous out/previous/filbertusher \
 		-policies ours,previous,roundRobin,leastLoad -loads 0.9,2 -seeds 1 -duration 16s \
--- a/internal/standin/commands/demo.go
+++ b/internal/standin/commands/demo.go
@@ -43,7 +43,7 @@
 	defer whole.Close()
 	fmt.Fprintln(out, "started", len(whole.Members()), "processes; entries at", whole.Entries[0].Address, "and", whole.Entries[1].Address)
 	d := &demo{whole: whole, out: out}
-	steps := []func(context.Context) error{d.question, d.stream, d.order, d.switchPreset}
+	steps := []func(context.Context) error{d.question, d.stream, d.order, d.switchPreset, d.record}
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			return err
