--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -48,12 +48,13 @@
 // Companion is the state of the process. Its exported methods are in rpc.go.
 type Companion struct {
 	Dependencies
-	options Options
-	outlets *outlets
-	metrics metrics
-	drain   *drain
-	issuer  *ticket.Issuer
-	tickets *journal.Slot
+	reservations *reservations
+	options      Options
+	outlets      *outlets
+	metrics      metrics
+	drain        *drain
+	issuer       *ticket.Issuer
+	tickets      *journal.Slot
 	// stopping is set by a planned stop, which can't be called off.
 	stopping atomic.Bool
 }
@@ -63,6 +64,7 @@
 	dispatched func(int64)
 	busy       func(int64)
 	resumed    func(int64)
+	paused     func(int64)
 	events     func(int64)
 }
 
@@ -73,6 +75,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		outlets:      newOutlets(),
+		reservations: newReservations(),
 		issuer:       ticket.NewIssuer(ticket.Named{Endpoint: options.Endpoint, Incarnation: options.Incarnation}),
 		tickets:      journal.NewLocal(options.TicketLife+options.TicketRetention, options.MaxTickets),
 		drain:        newDrain(),
@@ -80,6 +83,7 @@
 			submitted:  group.Counter("submitted").Add,
 			dispatched: group.Counter("dispatched").Add,
 			busy:       group.Counter("busy").Add,
+			paused:     group.Counter("requestsPaused").Add,
 			resumed:    group.Counter("streamsResumed").Add,
 			events:     group.Counter("streamEvents").Add,
 		},
--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -104,6 +104,7 @@
 		w.cancelInEndpoint()
 		return
 	}
+	reader.slot.Answered(usher.Tokens(reader.next))
 	w.entry.Finish(&usher.Answer{}, nil)
 	if w.key != nil {
 		w.key.Finish(nil, streamGone())
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -24,6 +24,17 @@
 	cancel    context.CancelFunc
 	// key is the entry of the request's key; nil for requests that may repeat.
 	key *journal.Entry
+	// engineID is the id in the endpoint of a request that was paused; the
+	// endpoint has cancelled the request's own id then.
+	engineID usher.RequestID
+}
+
+// idInEndpoint is the id under which the endpoint knows the request.
+func (w *work) idInEndpoint() usher.RequestID {
+	if w.engineID != "" {
+		return w.engineID
+	}
+	return w.args.Header.ID
 }
 
 // end keeps what came of the request under its id and under its key.
@@ -38,6 +49,9 @@
 // caller does not want to wait.
 func (w *work) admit(ctx context.Context) (usher.Slot, *usher.Refusal) {
 	c := w.companion
+	if slot := c.reservations.take(w.entry.Header.ID, w.args.Grant); slot != nil {
+		return slot, nil
+	}
 	if !w.args.MayWait {
 		slot, _ := c.Admission.TryAdmit(&w.entry.Header)
 		return slot, nil
@@ -69,22 +83,25 @@
 	if w.args.Header.Stream {
 		return w.stream(ctx, slot)
 	}
+	answer, slot, elapsed, err := w.call(ctx, slot)
 	defer w.finished(slot)
-	started := time.Now()
-	answer, err := c.Backend.Call(ctx, w.args.Header.ID, c.Fence(), &w.args.Call)
 	if err != nil {
 		w.cancelInEndpoint()
 		refusal := w.failure(ctx, err)
 		w.end(nil, refusal)
 		return c.refused(refusal)
 	}
-	observe(slot, time.Since(started), answer.Usage)
+	observe(slot, elapsed, answer.Usage)
 	w.end(answer, nil)
 	return wire.SubmitReply{Status: c.status(), State: wire.StateAnswered, Answer: answer}
 }
 
+// finished gives back what the request held. slot is nil when the request lost
+// its place before it ended.
 func (w *work) finished(slot usher.Slot) {
-	slot.Release()
+	if slot != nil {
+		slot.Release()
+	}
 	w.cancel()
 	w.companion.drain.end()
 }
@@ -93,6 +110,7 @@
 func observe(slot usher.Slot, elapsed time.Duration, usage usher.Usage) {
 	if usage.AnswerTokens > 0 {
 		slot.Token(elapsed / time.Duration(usage.AnswerTokens))
+		slot.Answered(usage.AnswerTokens)
 	}
 }
 
@@ -111,7 +129,7 @@
 func (w *work) cancelInEndpoint() {
 	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 	defer cancel()
-	if err := w.companion.Backend.Cancel(ctx, w.args.Header.ID); err != nil {
+	if err := w.companion.Backend.Cancel(ctx, w.idInEndpoint()); err != nil {
 		w.companion.Log.Debug().Err(err).Str("requestId", string(w.args.Header.ID)).Msg("cancelFailed")
 	}
 }
