--- a/pkg/usher/calls.go
+++ b/pkg/usher/calls.go
@@ -85,6 +85,15 @@
 	Cancel(ctx context.Context, id RequestID) error
 }
 
+// CacheTransfer is implemented by backends whose KV cache can be kept outside
+// of them, so that the prefill of a paused request is not lost.
+type CacheTransfer interface {
+	// ExportCache returns what was computed of the prompt of a request.
+	ExportCache(ctx context.Context, id RequestID) ([]byte, error)
+	// ImportCache makes it known to the endpoint again.
+	ImportCache(ctx context.Context, cache []byte) error
+}
+
 // BackendError is returned when an endpoint gave no answer. Reached says
 // whether the endpoint may have seen the call.
 type BackendError struct {
