Test that a restarted companion promises nothing for the one before it

Cause: no test restarted a companion at the same address, so that the checks of incarnations and sessions could be taken out unnoticed. Change: the script command restart; the proxy moves to the new process.

--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -104,6 +104,17 @@
 	return proxy.Start()
 }
 
+// Move puts the proxy in front of another process. Its address stays.
+func (p *Proxies) Move(link, address string) error {
+	proxy, err := p.of(link)
+	if err != nil {
+		return err
+	}
+	proxy.Stop()
+	proxy.Upstream = address
+	return proxy.Start()
+}
+
 // Cut cuts every connection of a link; new ones work.
 func (p *Proxies) Cut(link string) error {
 	if err := p.Down(link); err != nil {
--- a/test/path/faults_test.go
+++ b/test/path/faults_test.go
@@ -76,7 +76,7 @@
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
 	commands := map[string]func(*testing.T, *datadriven.TestData) (string, error){
 		"start": s.start, "ask": s.ask, "order": s.order, "await": s.await, "result": s.result,
-		"hangup": s.hangup, "process": s.process, "link": s.link, "totals": s.totals, "declare": s.declare, "executions": s.executions,
+		"hangup": s.hangup, "process": s.process, "link": s.link, "totals": s.totals, "declare": s.declare, "executions": s.executions, "restart": s.restart,
 	}
 	command, ok := commands[d.Cmd]
 	if !ok {
@@ -352,6 +352,28 @@
 	return name, err
 }
 
+// restart: "restart N" kills the companion of engine N and starts another one,
+// which is reached at the same address.
+func (s *script) restart(_ *testing.T, d *datadriven.TestData) (string, error) {
+	number, err := strconv.Atoi(d.CmdArgs[0].Key)
+	if err != nil {
+		return "", err
+	}
+	old := s.whole.Companions[number]
+	old.Kill()
+	backend, err := s.proxies.Address(s.whole.Engines[number].Name)
+	if err != nil {
+		return "", err
+	}
+	endpoint := usher.Endpoint{Name: usher.EndpointName("advice-" + strconv.Itoa(number)), AvailabilityZone: fleet.Zone}
+	fresh, err := s.whole.Companion(s.whole.Store.Address, endpoint, backend, usher.ServiceModel)
+	if err != nil {
+		return "", err
+	}
+	s.whole.Companions[number] = fresh
+	return "", s.proxies.Move(old.Name, fresh.Address)
+}
+
 // process: "process kill|freeze|wake NAME"; the name "serving" stands for the
 // companion whose engine has begun to run a request.
 func (s *script) process(_ *testing.T, d *datadriven.TestData) (string, error) {
