--- a/internal/standin/commands/demo.go
+++ b/internal/standin/commands/demo.go
@@ -21,26 +21,39 @@
 	c := command.New("demo", "bring up the whole path on loopback and send requests")
 	var binary string
 	c.Settings.Text(&binary, "binary", "bin/filbertusher", true, "the product's program")
+	var stay bool
+	c.Settings.Bool(&stay, "stay", false, "send nothing and keep the processes until interrupted, for callers to try")
 	c.Run = func(ctx context.Context, out, _ io.Writer) error {
 		self, err := os.Executable()
 		if err != nil {
 			return err
 		}
-		return runDemo(ctx, out, fleet.Binaries{Product: binary, Standin: self})
+		return runDemo(ctx, out, fleet.Binaries{Product: binary, Standin: self}, stay)
 	}
 	return c
 }
 
-func runDemo(ctx context.Context, out io.Writer, binaries fleet.Binaries) error {
-	whole, err := fleet.NewWhole(ctx, binaries, fleet.Plan{
-		Entries: 2,
-		Engines: [][]string{{"--decode-step", "5ms"}, {"--decode-step", "15ms"}},
-		Desks:   1,
-	})
+// DemoPlan is the path that the demo brings up.
+func DemoPlan() fleet.Plan {
+	return fleet.Plan{
+		Entries:   2,
+		Engines:   [][]string{{"--decode-step", "5ms"}, {"--decode-step", "15ms"}},
+		Desks:     1,
+		EntryArgs: []string{"--body-timeout", "2s"},
+	}
+}
+
+func runDemo(ctx context.Context, out io.Writer, binaries fleet.Binaries, stay bool) error {
+	whole, err := fleet.NewWhole(ctx, binaries, DemoPlan())
 	if err != nil {
 		return err
 	}
 	defer whole.Close()
+	if stay {
+		fmt.Fprintf(out, "export ENTRY=http://%s TOKEN=%s\n", whole.Entries[0].Address, fleet.TokenOf(fleet.Regenfass))
+		<-ctx.Done()
+		return nil
+	}
 	fmt.Fprintln(out, "started", len(whole.Members()), "processes; entries at", whole.Entries[0].Address, "and", whole.Entries[1].Address)
 	d := &demo{whole: whole, out: out}
 	steps := []func(context.Context) error{d.question, d.stream, d.order, d.switchPreset, d.record}
