Pace the inspector's reads

Cause: a search of ten million decisions makes some 1,500 calls, 16 at once, which alone could pass the platform's 2,000 reads a second.

--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/time/rate"
 	"pgregory.net/rapid"
 
 	"filbertusher/internal/archive"
@@ -363,6 +364,20 @@
 	}
 }
 
+// TestPace refuses calls that the pace does not allow before the deadline.
+func TestPace(t *testing.T) {
+	c := newChains(1)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	callsPerHour := rate.Limit(1.0 / time.Hour.Seconds())
+	if _, err := archive.NewPacedReader(c, callsPerHour).Verify(ctx, nil); err == nil {
+		t.Error("more calls were made than the pace allows")
+	}
+	if c.lists > 20 {
+		t.Errorf("%d calls were made", c.lists)
+	}
+}
+
 // TestExpiry lets any prefix of the chains expire, twice, and verifies.
 func TestExpiry(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/archive/expire.go
+++ b/internal/archive/expire.go
@@ -203,7 +203,7 @@
 // delete removes an object. An ambiguous answer is settled by trying again:
 // a deletion that took effect makes the next one a conflict or a miss.
 func (e *expiry) delete(ctx context.Context, object usher.Object) error {
-	return again(ctx, func() error {
+	return e.again(ctx, func() error {
 		err := e.store.Delete(ctx, object.Key, object.Version)
 		var missing *usher.NotFoundError
 		var conflict *usher.ConflictError
--- a/internal/archive/reader.go
+++ b/internal/archive/reader.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"filbertusher/internal/record"
 	"filbertusher/pkg/usher"
 )
@@ -32,10 +34,19 @@
 var firstMonth = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // Reader reads the record of one store.
-type Reader struct{ store usher.Store }
+type Reader struct {
+	store usher.Store
+	pace  *rate.Limiter
+}
+
+// NewReader returns a reader that reads as fast as the store answers.
+func NewReader(store usher.Store) *Reader { return NewPacedReader(store, rate.Inf) }
 
-// NewReader returns a reader.
-func NewReader(store usher.Store) *Reader { return &Reader{store: store} }
+// NewPacedReader returns a reader that leaves the rest of the store's reads to
+// the processes that serve callers.
+func NewPacedReader(store usher.Store, callsPerSecond rate.Limit) *Reader {
+	return &Reader{store: store, pace: rate.NewLimiter(callsPerSecond, readersAtOnce)}
+}
 
 // Chain is a writer with what is known of its expired batches.
 type Chain struct {
@@ -185,7 +196,7 @@
 }
 
 func (r *Reader) get(ctx context.Context, key usher.ObjectKey) (object usher.Object, err error) {
-	err = again(ctx, func() error {
+	err = r.again(ctx, func() error {
 		object, err = r.store.Get(ctx, key)
 		return err
 	})
@@ -193,17 +204,21 @@
 }
 
 func (r *Reader) list(ctx context.Context, prefix usher.ObjectKey) (objects []usher.Object, err error) {
-	err = again(ctx, func() error {
+	err = r.again(ctx, func() error {
 		objects, _, err = r.store.List(ctx, prefix)
 		return err
 	})
 	return objects, err
 }
 
-// again repeats a read that the store did not serve, with growing pauses.
-func again(ctx context.Context, read func() error) error {
+// again makes a call at the pace of the reader, and repeats one that the store
+// did not serve, with growing pauses.
+func (r *Reader) again(ctx context.Context, call func() error) error {
 	for attempt := 0; ; attempt++ {
-		err := read()
+		if err := r.pace.Wait(ctx); err != nil {
+			return err
+		}
+		err := call()
 		var unavailable *usher.UnavailableError
 		if !errors.As(err, &unavailable) || attempt == retries {
 			return err
--- a/internal/command/record.go
+++ b/internal/command/record.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"filbertusher/internal/archive"
 	"filbertusher/internal/platform"
 	"filbertusher/internal/settings"
@@ -47,8 +49,12 @@
 // recordReader declares the store's address and returns how to get a reader.
 func recordReader(set *settings.Set) func() *archive.Reader {
 	var store string
+	var reads int
 	set.Address(&store, "store", "", true, "the platform's object API")
-	return func() *archive.Reader { return archive.NewReader(platform.New(store, http.DefaultClient)) }
+	set.Int(&reads, "calls", 500, 1, 1000000, "how many calls a second are made to it at most")
+	return func() *archive.Reader {
+		return archive.NewPacedReader(platform.New(store, http.DefaultClient), rate.Limit(reads))
+	}
 }
 
 // querySettings are the flags that choose decisions.
