--- a/internal/record/bench_test.go
+++ b/internal/record/bench_test.go
@@ -155,6 +155,38 @@
 	}
 }
 
+// BenchmarkExchange is the size of the messages of the recorder: one that has
+// decisions held, and one that releases what an interval gathered at one of 24
+// companions.
+func BenchmarkExchange(b *testing.B) {
+	const writer = "0b0f1f9e-6a7b-4c1d-9e51-3f8f3c1d2a10"
+	hold := func(n int) *wire.RecordArgs {
+		args := &wire.RecordArgs{Prefix: writer + "-"}
+		for i := range n {
+			args.Hold = append(args.Hold, likely(writer, i))
+		}
+		return args
+	}
+	released := &wire.RecordArgs{Prefix: writer + "-", Released: []string{"1a", "1b", "1c", "1d", "1e", "1f", "1g", "1h"}}
+	released.Head = wire.RecordHead{Writer: writer, Sequence: 7, Digest: Genesis(writer)}
+	for name, args := range map[string]*wire.RecordArgs{"hold=1": hold(1), "hold=16": hold(16), "release=8": released} {
+		b.Run(name, func(b *testing.B) {
+			var connection bytes.Buffer
+			sender, receiver := gob.NewEncoder(&connection), gob.NewDecoder(&connection)
+			_ = sender.Encode(args)
+			_ = receiver.Decode(&wire.RecordArgs{})
+			size := 0
+			b.ResetTimer()
+			for range b.N {
+				_ = sender.Encode(args)
+				size = connection.Len()
+				_ = receiver.Decode(&wire.RecordArgs{})
+			}
+			b.ReportMetric(float64(size), "B/message")
+		})
+	}
+}
+
 // BenchmarkOutage is the memory of one minute of an outage in an entry, by its
 // requests a second. It seals as the recorder does: one batch a minute.
 func BenchmarkOutage(b *testing.B) {
