--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -47,7 +47,7 @@
 	command.Settings.Int(&p.waiting, "max-waiting", 10000, 0, 1000000, "how many requests may wait for the endpoint")
 	command.Settings.Duration(&p.retention, "retention", 10*time.Minute, time.Second, 24*time.Hour, "how long ended requests are remembered")
 	command.Settings.Duration(&p.keyRetention, "key-retention", 24*time.Hour, time.Minute, 30*24*time.Hour, "how long idempotency keys are remembered where the service declares no time")
-	command.Settings.Int(&p.journalWrites, "journal-writes", 20, 1, 1000, "how many writes a second may go to the journals of this companion")
+	command.Settings.Int(&p.journalWrites, "journal-writes", 5, 1, 1000, "how many writes a second may go to the journal of one slot of keys")
 	command.Settings.Duration(&p.ticketLife, "ticket-life", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket can be used")
 	command.Settings.Int(&p.maxKeys, "max-keys", 20000, 1, 1000000, "how many keys one slot, and all tickets together, may remember")
 	command.Run = p.run
--- a/internal/journal/book.go
+++ b/internal/journal/book.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"filbertusher/pkg/usher"
 )
 
@@ -20,8 +18,9 @@
 	// Retention is how long keys are remembered when their service declares
 	// no time of its own.
 	Retention time.Duration
-	// WritesPerSecond bounds the writes of all slots together. Keys that come
-	// in between share a write.
+	// WritesPerSecond bounds the writes of one slot. Keys that come in between
+	// share a write. As a service has a fixed number of slots, its writes are
+	// bounded whatever the number of its companions is.
 	WritesPerSecond float64
 	// OutcomeDelay is how long an outcome may wait for a write to share; 0
 	// leaves outcomes to the next write.
@@ -52,7 +51,6 @@
 	options Options
 	store   usher.Store
 	prober  Prober
-	limiter *rate.Limiter
 	writes  atomic.Uint64
 	counts  counters
 
@@ -71,11 +69,9 @@
 	if options.MaxHead == 0 {
 		options.MaxHead = defaultMaxHead
 	}
-	burst := max(1, int(options.WritesPerSecond/4))
 	return &Book{
 		options: options, store: store, prober: prober,
-		limiter: rate.NewLimiter(rate.Limit(options.WritesPerSecond), burst),
-		slots:   make(map[slotID]*Slot), claims: make(map[slotID]chan struct{}),
+		slots: make(map[slotID]*Slot), claims: make(map[slotID]chan struct{}),
 	}
 }
 
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -115,7 +115,7 @@
 			return err
 		}
 	}
-	if err := s.book.limiter.Wait(ctx); err != nil {
+	if err := s.limiter.Wait(ctx); err != nil {
 		return &UnsettledError{Cause: err}
 	}
 	s.mu.Lock()
--- a/internal/journal/slot.go
+++ b/internal/journal/slot.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"filbertusher/pkg/usher"
 )
 
@@ -12,6 +14,10 @@
 // Longer ones are kept by the holder alone, and by their digest.
 const maxBody = 512
 
+// writeBurst is how many writes of a slot may follow each other at once, so
+// that a key which comes alone does not wait.
+const writeBurst = 3
+
 // Entry is one key in a slot.
 type Entry struct {
 	Record
@@ -32,6 +38,7 @@
 	id        slotID
 	retention time.Duration
 	local     bool
+	limiter   *rate.Limiter
 	// writing is the right to write; its holder writes for all that wait.
 	writing chan struct{}
 
@@ -56,7 +63,8 @@
 
 func newSlot(book *Book, id slotID, retention time.Duration, version usher.Version, value head) *Slot {
 	return &Slot{
-		book: book, id: id, retention: retention, writing: make(chan struct{}, 1),
+		book: book, id: id, retention: retention,
+		limiter: rate.NewLimiter(rate.Limit(book.options.WritesPerSecond), writeBurst), writing: make(chan struct{}, 1),
 		version: version, value: value, entries: make(map[KeyHash]*Entry),
 		refusedAt: make(map[KeyHash]uint64), idle: make(chan struct{}),
 	}
