--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOL     := $(GO) tool -modfile=tools/go.mod
 PACKAGES := ./...
 
-.PHONY: experiment-short all build test unit race fmt fmt-check lint vet demo bench experiment soak scale clean
+.PHONY: experiment-short report all build test unit race fmt fmt-check lint vet demo bench experiment soak scale clean
 
 all: build
 
@@ -45,6 +45,11 @@
 soak: build
 	./bin/standin soak -binary ./bin/filbertusher
 
+# scale runs up to a few hundred processes on this machine; it takes minutes.
+scale: build
+	./bin/standin scale -binary ./bin/filbertusher -sizes 20,60,120,240 -idle 5s
+	./bin/standin scale -binary ./bin/filbertusher -sizes 20 -workspaces 34000 -idle 5s
+
 clean:
 	rm -rf bin out
 
@@ -63,6 +68,10 @@
 	./bin/standin experiment -binary ./bin/filbertusher -previous out/previous/filbertusher \
 		-policies ours,previous,roundRobin,leastLoad
 
+# report plots the results of an experiment.
+report: build
+	./bin/standin report -input out/experiment.jsonl -output out/report.html
+
 experiment-short: build out/previous/filbertusher
 	./bin/standin experiment -binary ./bin/filbertusher -previous out/previous/filbertusher \
 		-policies ours,previous,roundRobin,leastLoad -loads 0.9,2 -seeds 1 -duration 16s \
--- a/internal/command/change.go
+++ b/internal/command/change.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -173,6 +174,7 @@
 			}
 		}
 	}
+	slices.Sort(names)
 	if len(names) == 0 {
 		return nil, &settings.Error{Setting: "NAMES", Value: list, Allowed: "endpoints separated by commas, or --zone with endpoints in it"}
 	}
--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -19,16 +19,24 @@
 	"filbertusher/pkg/usher"
 )
 
+// companionProcessors is how many threads of the process run at once by default.
+const companionProcessors = 2
+
 // companionProcess is the settings of the companion.
 type companionProcess struct {
 	process
+	tuning
 	listen          string
 	endpointName    string
 	endpointAddress string
 	protocol        string
 	running         int
 	waiting         int
+	waitingTokens   int
+	tokenPace       time.Duration
 	retention       time.Duration
+	recordSilence   time.Duration
+	recordLimit     int
 	keyRetention    time.Duration
 	journalWrites   int
 	ticketLife      time.Duration
@@ -39,13 +47,18 @@
 	command := New("companion", "stand beside an endpoint and send it its work")
 	p := &companionProcess{}
 	p.declare(command.Settings)
+	p.declareTuning(command.Settings, companionProcessors)
 	command.Settings.Address(&p.listen, "listen", "127.0.0.1:9090", true, "where entries reach this process")
 	command.Settings.Text(&p.endpointName, "endpoint", "", true, "the name of the endpoint's declaration")
 	command.Settings.Address(&p.endpointAddress, "endpoint-address", "", true, "where the endpoint itself is reached")
 	command.Settings.Choice(&p.protocol, "protocol", string(usher.ServiceModel), []string{string(usher.ServiceModel), string(usher.ServicePlain)}, "how the endpoint is spoken to")
-	command.Settings.Int(&p.running, "max-running", 32, 1, 4096, "how many requests may be in the endpoint at once")
-	command.Settings.Int(&p.waiting, "max-waiting", 10000, 0, 1000000, "how many requests may wait for the endpoint")
+	command.Settings.Int(&p.running, "max-running", 256, 1, 4096, "how many requests may be in the endpoint at once; for model engines fewer are let in, as their pace allows")
+	command.Settings.Duration(&p.tokenPace, "token-pace", 25*time.Millisecond, time.Millisecond, time.Minute, "the mean time between two tokens of an answer that is not to be passed")
+	command.Settings.Int(&p.waiting, "max-waiting", 1000, 0, 1000000, "how many requests may wait for the endpoint")
+	command.Settings.Int(&p.waitingTokens, "max-waiting-tokens", 4<<20, 1, 1<<30, "how many prompt tokens the waiting requests may have together")
 	command.Settings.Duration(&p.retention, "retention", 10*time.Minute, time.Second, 24*time.Hour, "how long ended requests are remembered")
+	command.Settings.Duration(&p.recordSilence, "record-silence", 30*time.Second, 100*time.Millisecond, time.Hour, "how long an entry may be silent before its part of the record is stored from here; three times the entries' record-interval or more")
+	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what copies for the record may take in memory, in bytes")
 	command.Settings.Duration(&p.keyRetention, "key-retention", 24*time.Hour, time.Minute, 30*24*time.Hour, "how long idempotency keys are remembered where the service declares no time")
 	command.Settings.Int(&p.journalWrites, "journal-writes", 5, 1, 1000, "how many writes a second may go to the journal of one slot of keys")
 	command.Settings.Duration(&p.ticketLife, "ticket-life", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket can be used")
@@ -82,6 +95,7 @@
 }
 
 func (p *companionProcess) run(signalled context.Context, _, errOut io.Writer) error {
+	p.tune()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	ctx, err := p.start(ctx, errOut)
@@ -93,6 +107,13 @@
 		return err
 	}
 	name := usher.EndpointName(p.endpointName)
+	keeper := record.NewKeeper(record.KeeperOptions{
+		Incarnation: p.incarnation, Silence: p.recordSilence, Limit: int64(p.recordLimit),
+	}, p.store, p.log)
+	room := waiting.New(name, waiting.Options{
+		Running: p.running, Waiting: p.waiting, WaitingTokens: usher.Tokens(p.waitingTokens),
+		TokenPace: p.tokenPace, Fixed: p.protocol == string(usher.ServicePlain), Share: p.config.ShareOf, Preempt: p.config.Preempts,
+	})
 	fence := companion.NewFence(p.store, name, p.incarnation, p.log)
 	beside := companion.New(companion.Options{
 		Endpoint: name, Incarnation: p.incarnation,
@@ -100,17 +121,23 @@
 	}, companion.Dependencies{
 		Journal: p.book(name), Fence: fence.Current,
 		Config: p.config, Backend: p.backend(),
-		Admission: waiting.New(name, waiting.Options{Running: p.running, Waiting: p.waiting}),
-		Ledger:    ledger.New(p.retention), Recorder: record.NewMemory(recordLimit), Log: p.log,
+		Admission: room,
+		Ledger:    ledger.New(p.retention), Keeper: keeper, Log: p.log,
 	})
 	p.admin.Section("companion", beside.State)
+	p.admin.Section("admission", room.State)
+	p.admin.Section("record", keeper.State)
 	server := link.NewServer(listener)
 	if err := server.Register("Companion", companion.NewRPC(beside)); err != nil {
 		return err
 	}
+	if err := server.Register("Record", record.NewKeeperRPC(keeper)); err != nil {
+		return err
+	}
 	if err := p.follow(ctx, server, listener.Addr().String(), name); err != nil {
 		return err
 	}
+	p.group.Go(func() error { return keeper.Run(ctx) })
 	p.group.Go(func() error { return fence.Run(ctx) })
 	p.group.Go(func() error { return beside.FollowLeaving(ctx) })
 	p.log.Info().Str("listen", listener.Addr().String()).Msg("listening")
@@ -122,6 +149,7 @@
 		limit, stop := context.WithTimeout(ctx, p.drainTimeout)
 		defer stop()
 		drained = beside.Drain(limit)
+		keeper.Close(limit)
 		cancel()
 	}()
 	return errors.Join(p.group.Wait(), drained)
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -14,6 +14,8 @@
 	"filbertusher/internal/admin"
 	"filbertusher/internal/config"
 	"filbertusher/internal/link"
+	"filbertusher/internal/member"
+	"filbertusher/internal/operator"
 	"filbertusher/internal/platform"
 	"filbertusher/internal/settings"
 	"filbertusher/internal/spread"
@@ -59,6 +61,7 @@
 		return ctx, err
 	}
 	p.log = telemetry.NewLogger(errOut, level)
+	telemetry.RedirectStandardLog(p.log)
 	p.incarnation = usher.Incarnation(uuid.NewString())
 	p.store = platform.New(p.storeAddress, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeConnections}})
 	p.config = config.NewHolder()
@@ -86,6 +89,8 @@
 	p.admin.Section("config", spreading.State)
 	p.group.Go(func() error { return spreading.Run(ctx) })
 	p.group.Go(func() error { return server.Serve(ctx) })
+	hints := member.NewHints(p.store, operator.New(p.store, "filbertusher"), p.config, spreading.WatchesStore, p.log)
+	p.group.Go(func() error { return hints.Run(ctx) })
 	return nil
 }
 
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -2,6 +2,7 @@
 
 import (
 	"filbertusher/internal/wire"
+	"filbertusher/pkg/usher"
 )
 
 // RPC is the companion as its peers see it; net/rpc calls its methods.
@@ -13,7 +14,17 @@
 // Submit offers a request with its body.
 func (r *RPC) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
 	r.companion.Config.Hear(args.Peer, args.ConfigVersion)
+	if err := r.companion.Keeper.Accept(args.Header.Rank); err != nil {
+		refusal := asRefusal(err, usher.OutcomeNotRun)
+		if args.Header.Key != "" && !args.Header.Idempotent {
+			// The key was not looked for, so nothing is said of it.
+			refusal = refusal.ForAttempt()
+		}
+		*reply = r.companion.refused(refusal)
+		return nil
+	}
 	*reply = r.companion.submit(args)
+	reply.Held = r.companion.hold(args, reply)
 	return nil
 }
 
@@ -25,11 +36,31 @@
 		return nil
 	}
 	*reply = r.companion.outcome(entry)
+	reply.Held = r.companion.Keeper.Holds(args.ID)
+	return nil
+}
+
+// Reserve asks for room for a request without its body.
+func (r *RPC) Reserve(args *wire.ReserveArgs, reply *wire.ReserveReply) error {
+	*reply = r.companion.reserve(args)
 	return nil
 }
 
-// Withdraw takes a request back.
+// Withdraw takes a request or a reservation back.
 func (r *RPC) Withdraw(args *wire.WithdrawArgs, reply *wire.WithdrawReply) error {
+	if args.Reservation {
+		r.companion.reservations.withdraw(args.ID)
+		reply.Status = r.companion.status()
+		return nil
+	}
+	if args.TakeBack {
+		reply.Outcome = usher.OutcomeUnknown
+		if r.companion.Ledger.TakeBack(args.ID) {
+			reply.Outcome = usher.OutcomeNotRun
+		}
+		reply.Status = r.companion.status()
+		return nil
+	}
 	reply.Outcome = r.companion.Ledger.Withdraw(args.ID, args.Cancel)
 	reply.Status = r.companion.status()
 	return nil
@@ -44,6 +75,7 @@
 	outlet := r.companion.outlets.of(args.Incarnation)
 	reply.Session = outlet.session
 	reply.Batch, reply.Events = outlet.collect(args.Session, args.Ack, args.Wait)
+	r.companion.metrics.events(int64(len(reply.Events)))
 	reply.Status = r.companion.status()
 	return nil
 }
--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -71,7 +71,6 @@
 	reader := &streamReader{
 		outlet: w.companion.outlets.of(w.args.Incarnation), number: w.args.Stream,
 		digest: sha256.New(), slot: slot, last: started, prompt: w.args.Header.Cost.PromptTokens,
-		count: w.companion.metrics.events,
 	}
 	err := reader.copy(ctx, stream)
 	for attempt := 0; err != nil && ctx.Err() == nil && attempt < resumeAttempts; attempt++ {
@@ -99,18 +98,23 @@
 	if err != nil {
 		refusal := w.failure(ctx, err)
 		w.end(nil, refusal)
-		reader.finish(wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal})
+		event := wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal}
+		w.companion.holdEnd(w.args, &event, reader.size)
+		reader.finish(event)
 		w.cancelInEndpoint()
 		return
 	}
+	reader.slot.Answered(usher.Tokens(reader.next))
 	w.entry.Finish(&usher.Answer{}, nil)
 	if w.key != nil {
 		w.key.Finish(nil, streamGone())
 	}
-	reader.finish(wire.Event{
+	event := wire.Event{
 		Stream: reader.number, Offset: reader.next, End: wire.EndWhole,
 		Digest: usher.Digest(hex.EncodeToString(reader.digest.Sum(nil))),
-	})
+	}
+	w.companion.holdEnd(w.args, &event, reader.size)
+	reader.finish(event)
 }
 
 // streamReader copies the events of a stream, each offset once and in order.
@@ -118,11 +122,11 @@
 	outlet *outlet
 	number uint64
 	next   uint64
+	size   int64
 	digest hash.Hash
 	slot   usher.Slot
 	last   time.Time
 	prompt usher.Tokens
-	count  func(int64)
 }
 
 // GapError is returned when a stream skips an event.
@@ -174,6 +178,6 @@
 	r.last = now
 	r.next++
 	r.digest.Write(event.Data)
-	r.count(1)
+	r.size += int64(len(event.Data))
 	return r.outlet.add(ctx, wire.Event{Stream: r.number, Offset: event.Offset, Data: event.Data})
 }
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -195,9 +195,14 @@
 	args := &wire.SubmitArgs{
 		Caller: e.caller(), Header: accepted.RequestHeader, Remaining: time.Until(accepted.Deadline),
 		Call: accepted.call, MayWait: true, Stream: stream.number, Slot: view,
+		Record: accepted.recordContext(),
 	}
 	reply := &wire.SubmitReply{}
+	accepted.offeredTo(peer.endpoint)
 	err := peer.submitWith(limit, false, stream, args, reply)
+	if err == nil {
+		accepted.reply = reply
+	}
 	if err != nil || reply.State != wire.StateStreaming {
 		stream.close()
 	}
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,9 @@
 	collectGrace = 2 * time.Second
 	// reconnectDelay is the pause after a failed Collect.
 	reconnectDelay = 100 * time.Millisecond
+	// lostDelay is about the pause after each failed try to reach a lost peer.
+	// It is spread, so that a zone that comes back is not met by all at once.
+	lostDelay = 2 * time.Second
 	// lostAfter is how long a peer may be out of reach before the streams and
 	// answers that are expected from it are given up.
 	lostAfter = 3 * time.Second
@@ -69,6 +73,8 @@
 	contact  atomic.Pointer[contact]
 	// pending counts the calls that wait for a reply.
 	pending atomic.Int64
+	// used is when the peer was last asked for, in nanoseconds since 1970.
+	used atomic.Int64
 
 	next atomic.Uint64
 	mu   sync.Mutex
@@ -89,6 +95,14 @@
 	p.link.Close()
 }
 
+// unused says whether nothing is under way and was not for some time.
+func (p *peer) unused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	idle := len(p.streams) == 0 && len(p.withdrawn) == 0 && p.pending.Load() == 0
+	return idle && time.Since(time.Unix(0, p.used.Load())) > unusedTerm
+}
+
 func (p *peer) state() any {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -183,7 +197,7 @@
 			}
 			p.unreached(failing, err)
 			p.link.Reset()
-			sleep(ctx, reconnectDelay)
+			sleep(ctx, p.reconnectPause())
 			continue
 		}
 		failing = time.Time{}
@@ -193,6 +207,13 @@
 	p.failStreams(0, "the endpoint is not served any more")
 }
 
+func (p *peer) reconnectPause() time.Duration {
+	if p.contact.Load().reach != reachLost {
+		return reconnectDelay
+	}
+	return lostDelay/2 + rand.N(lostDelay)
+}
+
 func (p *peer) collectOnce(ctx context.Context, ack uint64) (*wire.CollectReply, error) {
 	now := p.contact.Load()
 	p.mu.Lock()
@@ -207,7 +228,7 @@
 	case busy || p.pending.Load() > 0:
 		args.Wait = busyWait
 	default:
-		args.Wait = idleWait
+		args.Wait = p.entry.peers.idleWait()
 	}
 	reply := &wire.CollectReply{}
 	limit, cancel := context.WithTimeout(ctx, args.Wait+collectGrace)
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -76,6 +76,7 @@
 		if reply.State == wire.StateNotKnown || reply.Incarnation != stream.contact.incarnation {
 			return result{}, false, false
 		}
+		accepted.reply = reply
 		got, final = e.judge(reply, stream)
 		return got, final, true
 	}
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -29,7 +29,7 @@
 func (e *Entry) issueTicket(w http.ResponseWriter, r *http.Request) {
 	accepted, refusal := e.accept(r)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.end(w, accepted, nil, refusal)
 		return
 	}
 	body, refusal := e.readBody(w, r)
@@ -38,18 +38,22 @@
 		refusal = usher.NewRefusal(usher.RefusalBadRequest, `the body has to be {"service": "name"}`)
 	}
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.end(w, accepted, nil, refusal)
 		return
 	}
 	if _, ok := accepted.snapshot.Services[asked.Service]; !ok {
-		e.refuse(w, usher.NewRefusal(usher.RefusalUnknownService, "there is no such service"))
+		e.end(w, accepted, nil, usher.NewRefusal(usher.RefusalUnknownService, "there is no such service"))
 		return
 	}
 	answer, refusal := e.fetchTicket(r.Context(), accepted, asked.Service)
 	if refusal != nil {
-		e.refuse(w, refusal)
+		e.end(w, accepted, nil, refusal)
 		return
 	}
+	accepted.Key = answer.Ticket
+	decision := accepted.decision()
+	decision.Outcome, decision.Status = usher.OutcomeRan, http.StatusCreated
+	e.finish(decision, accepted.copies)
 	writeJSON(w, http.StatusCreated, answer)
 }
 
@@ -69,6 +73,7 @@
 		err := peer.link.Call(limit, wire.MethodTicket, args, reply)
 		cancel()
 		if err == nil && reply.Refusal == nil {
+			accepted.endpoint = candidate.Endpoint
 			return ticketAnswer{Ticket: reply.Ticket, ExpiresSeconds: reply.Expires.Seconds()}, nil
 		}
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -72,6 +72,9 @@
 	reports  *lagging[Load]
 	orders   orderState
 	wake     chan struct{}
+	// exported has the prefill of cancelled requests that is kept outside, by
+	// the last block of the exported cache.
+	exported map[uint64]usher.Tokens
 	crashed  bool
 	crash    func()
 }
@@ -88,6 +91,7 @@
 		options:  options,
 		slowdown: 1,
 		requests: make(map[string]*request),
+		exported: make(map[uint64]usher.Tokens),
 		cache:    newPrefixCache(options.CacheBlocks, options.ReportLag, options.EventLoss),
 		reports:  newLagging[Load](options.ReportLag),
 		orders:   newOrderState(options.Models),
@@ -244,7 +248,7 @@
 	}
 	r.cancel()
 	e.totals.Cancelled++
-	e.totals.WastedPrefill += int64(r.prefilled)
+	e.totals.WastedPrefill += int64(r.prefilled - r.exported)
 	e.waiting = without(e.waiting, r)
 	e.running = without(e.running, r)
 	e.forgetLater(r)
@@ -257,10 +261,15 @@
 	e.slowdown = factor
 }
 
+// snapshotTotals counts prefill that was exported and not imported as wasted.
 func (e *Engine) snapshotTotals() Totals {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.totals
+	totals := e.totals
+	for _, tokens := range e.exported {
+		totals.WastedPrefill += int64(tokens)
+	}
+	return totals
 }
 
 func (e *Engine) signal() {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -23,6 +23,7 @@
 	MethodTicket   = "Companion.Ticket"
 	MethodPing     = "Companion.Ping"
 	MethodSnapshot = "Peer.Snapshot"
+	MethodRecord   = "Record.Exchange"
 	MethodPage     = "Peer.Page"
 )
 
@@ -59,6 +60,8 @@
 	// Stream is the number under which the events of a streamed answer are
 	// delivered to the calling incarnation by Collect.
 	Stream uint64
+	// Record completes the header to a line of the record.
+	Record usher.RecordContext
 	// Slot is what the entry knows of the slot of a key that may run only once.
 	Slot SlotView
 }
@@ -96,6 +99,8 @@
 	State   SubmitState
 	Answer  *usher.Answer
 	Refusal *usher.Refusal
+	// Held says that the companion holds a copy of this outcome for the record.
+	Held bool
 	// Slot is the newest view of the slot, for requests that have one.
 	Slot SlotView
 }
@@ -129,6 +134,12 @@
 type WithdrawArgs struct {
 	Caller
 	ID usher.RequestID
+	// TakeBack ends the request only if it waits, to be run elsewhere. The
+	// outcome is OutcomeUnknown when it does not wait.
+	TakeBack bool
+	// Reservation takes back only a reservation of the request; the request
+	// itself may still be submitted.
+	Reservation bool
 	// Cancel also ends the work of a request that was already dispatched.
 	Cancel bool
 }
@@ -186,6 +197,8 @@
 	Refusal *usher.Refusal
 	// Digest covers the data of all events; only with EndWhole.
 	Digest usher.Digest
+	// Held says that the companion holds a copy of this end for the record.
+	Held bool
 }
 
 // SnapshotArgs asks a peer for what has changed in the configuration since the
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -43,15 +43,36 @@
 	Watch(ctx context.Context, prefix ObjectKey, since Version, wait time.Duration) ([]Event, Version, error)
 }
 
+// Instance is one line of the platform's list of instances.
+type Instance struct {
+	Address string `json:"address"`
+	Leaving bool   `json:"leaving"`
+}
+
+// Instances is the platform's list of live and leaving instances. It lags, so
+// it is a hint and never a reason to hold that an instance is there or gone.
+type Instances interface {
+	// Instances returns the list; errors are *UnavailableError.
+	Instances(ctx context.Context) ([]Instance, error)
+}
+
 // Candidate is an endpoint that could run a request, with the estimate that
 // ranked it. The estimates go to the log and to the record.
 type Candidate struct {
-	Endpoint EndpointName
+	Endpoint EndpointName `json:"endpoint"`
 	// Finish is how long the request is expected to take there, waiting
 	// included.
-	Finish time.Duration
+	Finish time.Duration `json:"finish"`
 	// Reused is how much of the prompt's prefix is expected to be cached.
-	Reused Tokens
+	Reused Tokens `json:"reused,omitempty"`
+}
+
+// ReportedRanks is how many ranks a load report tells the wait of.
+const ReportedRanks = 4
+
+// WaitOf returns the expected wait of a request of a rank.
+func (r *LoadReport) WaitOf(rank Rank) time.Duration {
+	return r.WaitByRank[max(0, min(rank, ReportedRanks-1))]
 }
 
 // LoadReport is what a companion tells of its endpoint on every reply.
@@ -64,11 +85,17 @@
 	Limit int
 	// QueuedWork is the estimated time to work off what is waiting.
 	QueuedWork time.Duration
+	// PrefillBacklog is the expected time of the prompts that the engine has
+	// still to compute before that of a new request.
+	PrefillBacklog time.Duration
 	// PrefillPerToken and DecodePerToken are the measured pace of the engine.
 	PrefillPerToken time.Duration
 	DecodePerToken  time.Duration
-	// LowestKept is the least urgent rank that the companion keeps, waiting or
-	// running; -1 when it keeps nothing.
+	// WaitByRank is the expected wait of a new request behind everything of
+	// its own and more urgent ranks; the last one stands for all ranks above.
+	WaitByRank [ReportedRanks]time.Duration
+	// LowestKept is the least urgent rank that waits at the companion; -1 when
+	// nothing waits.
 	LowestKept Rank
 	Leaving    bool
 	// Taken is when the report was made, by the reader's clock on arrival.
@@ -104,37 +131,12 @@
 	// FirstToken and Token report the engine's pace as it is measured.
 	FirstToken(after time.Duration, prompt Tokens)
 	Token(gap time.Duration)
+	// Answered tells how long a whole answer was. Callers name an upper bound;
+	// estimates need what answers really take.
+	Answered(tokens Tokens)
+	// Preempted declares that the request can give its place back and run
+	// again later. The channel is closed when the place is asked for.
+	Preempted() <-chan struct{}
 	// Release gives the slot back. It may be called more than once.
 	Release()
 }
-
-// Decision is one line of the record: what was decided on a request and why.
-type Decision struct {
-	Time          time.Time     `json:"time"`
-	ID            RequestID     `json:"id"`
-	Workspace     WorkspaceName `json:"workspace"`
-	TokenName     string        `json:"tokenName,omitempty"`
-	Service       ServiceName   `json:"service"`
-	Tier          TierName      `json:"tier"`
-	Key           string        `json:"key,omitempty"`
-	ConfigVersion Version       `json:"configVersion"`
-	Preset        PresetName    `json:"preset"`
-	Candidates    []Candidate   `json:"candidates,omitempty"`
-	Endpoint      EndpointName  `json:"endpoint,omitempty"`
-	Attempts      Attempt       `json:"attempts"`
-	Outcome       Outcome       `json:"outcome"`
-	Refusal       RefusalKind   `json:"refusal,omitempty"`
-	RequestSHA256 string        `json:"requestSha256,omitempty"`
-	AnswerSHA256  string        `json:"answerSha256,omitempty"`
-	AnswerBytes   int64         `json:"answerBytes,omitempty"`
-	Duration      Duration      `json:"duration"`
-}
-
-// Recorder keeps decisions for the inspector.
-type Recorder interface {
-	// Accept says whether a request of the rank may still be run; when the
-	// backlog is full it returns a *Refusal.
-	Accept(rank Rank) error
-	// Record keeps a decision until it is stored.
-	Record(decision Decision)
-}
