Bound what a burst of changes costs the store

Cause: each of the ten processes that watch the store read every version of a burst: 100 changes in a second would be 4,000 reads, twice the store's budget. Ruled out: fewer watchers, which leaves a zone without one when both die. Change: a process reads at most about five versions a second from the store.

--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -17,6 +17,10 @@
 	// which double and are spread.
 	firstRetry = 200 * time.Millisecond
 	maxRetry   = 3 * time.Second
+	// watchInterval is about the least time between two versions that a process
+	// reads from the store. It bounds what a burst of changes costs the store to
+	// five rounds of reads a second from each process that watches.
+	watchInterval = 200 * time.Millisecond
 	// watcherTerm is how long a process that took over the watch from its peers
 	// goes on before it tries them again.
 	watcherTerm = 10 * time.Second
@@ -111,9 +115,13 @@
 	delay := firstRetry
 	var revision usher.Version
 	for started := time.Now(); ctx.Err() == nil && time.Since(started) < watcherTerm; {
+		before := s.holder.Current().Version
 		next, err := s.watchStep(ctx, revision)
 		if err == nil {
 			revision, delay = next, firstRetry
+			if s.holder.Current().Version > before {
+				pause(ctx, jittered(watchInterval))
+			}
 			continue
 		}
 		var lost *usher.HistoryLostError
