Prune old versions of the configuration beside writers

Ruled out: putting a part back when a head turns out to refer to it: a writer that found the part before its removal was accepted after the check, and the test of writers beside a pruner found heads without their parts. Change: a writer writes a part anew even if it exists; the pruner removes only parts older than the current head, on the condition that they stay so. Measured: go test -race ./internal/operator -count=3 passes; without the second write of a part, or without the look at the new head, TestPruneBesideWriters fails.

--- a/internal/command/change.go
+++ b/internal/command/change.go
@@ -112,6 +112,20 @@
 	return command
 }
 
+func newPruneCommand() *Command {
+	command := New("prune", "remove old versions and what only they refer to")
+	var store string
+	var keep int
+	command.Settings.Address(&store, "store", "", true, "the platform's object API")
+	command.Settings.Int(&keep, "keep", 10000, 100, 1<<30, "how many versions are kept for history and rollback")
+	command.Run = func(ctx context.Context, out, _ io.Writer) error {
+		result, err := config.Prune(ctx, platform.New(store, http.DefaultClient), usher.Version(keep))
+		fmt.Fprintln(out, "removed:", result.Versions, "versions,", result.Parts, "parts")
+		return err
+	}
+	return command
+}
+
 func newPresetCommand() *Command {
 	use := New("use", "put a preset in force in place of the one that is")
 	w := &writer{}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -56,7 +56,7 @@
 	return []*Command{
 		newEntryCommand(), newCompanionCommand(), newDumpCommand(),
 		newCheckCommand(), newDiffCommand(), newGetCommand(), newHistoryCommand(),
-		newApplyCommand(), newRollbackCommand(), newPresetCommand(), newLeaveCommand(), newStopCommand(),
+		newApplyCommand(), newRollbackCommand(), newPruneCommand(), newPresetCommand(), newLeaveCommand(), newStopCommand(),
 		newRecordCommand(),
 	}
 }
--- a/internal/config/save.go
+++ b/internal/config/save.go
@@ -80,8 +80,8 @@
 }
 
 // SaveParts writes the pages and buckets of s that base does not have. Parts
-// are immutable, so writing one that exists is not a conflict, and a part
-// whose write was unsure may be written again.
+// are immutable, so one that exists is only written anew with the same content.
+// Its later version in the store tells Prune that a head may soon refer to it.
 func (s *Snapshot) SaveParts(ctx context.Context, store usher.Store, base *Snapshot) error {
 	members := s.members(func(index bucketIndex) bool { return s.tree.buckets[index] != base.tree.buckets[index] })
 	group, ctx := errgroup.WithContext(ctx)
@@ -89,7 +89,10 @@
 	for _, objects := range members {
 		group.Go(func() error {
 			encoded, digest, err := encodeBucket(objects)
-			return savePart(ctx, store, bucketPrefix+usher.ObjectKey(digest), encoded, err)
+			if err != nil {
+				return err
+			}
+			return savePart(ctx, store, bucketPrefix+usher.ObjectKey(digest), encoded)
 		})
 	}
 	for number, digest := range s.tree.pages {
@@ -98,7 +101,10 @@
 		}
 		group.Go(func() error {
 			encoded, _, err := s.tree.encodePage(number)
-			return savePart(ctx, store, pagePrefix+usher.ObjectKey(digest), encoded, err)
+			if err != nil {
+				return err
+			}
+			return savePart(ctx, store, pagePrefix+usher.ObjectKey(digest), encoded)
 		})
 	}
 	return group.Wait()
@@ -110,26 +116,43 @@
 		return nil
 	}
 	encoded, err := json.Marshal(s.Head)
-	return savePart(ctx, store, pastKey(s.Version), encoded, err)
-}
-
-// savePart writes a value that never changes. A write whose answer was lost is
-// repeated, which is harmless because it is conditional on the absence of the
-// object.
-func savePart(ctx context.Context, store usher.Store, key usher.ObjectKey, value []byte, err error) error {
 	if err != nil {
 		return err
 	}
+	for range partAttempts {
+		_, err = store.Put(ctx, pastKey(s.Version), 0, encoded)
+		var conflict *usher.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			return nil
+		}
+		pause(ctx, retryDelay)
+	}
+	return err
+}
+
+// savePart writes a part, or writes it anew if it exists. A write whose answer
+// was lost is repeated; all writes of a part have the same content. A conflict
+// with a second write means that somebody else has just written the part anew,
+// which serves as well.
+func savePart(ctx context.Context, store usher.Store, key usher.ObjectKey, value []byte) error {
 	if len(value) > maxPart {
 		return &PartTooLargeError{Key: key, Size: len(value)}
 	}
+	var err error
+	var expected usher.Version
 	for range partAttempts {
-		_, err = store.Put(ctx, key, 0, value)
+		_, err = store.Put(ctx, key, expected, value)
 		var conflict *usher.ConflictError
-		if err == nil || errors.As(err, &conflict) {
+		switch {
+		case err == nil:
 			return nil
+		case !errors.As(err, &conflict):
+			pause(ctx, retryDelay)
+		case expected != 0 && conflict.Current != 0:
+			return nil
+		default:
+			expected = conflict.Current
 		}
-		pause(ctx, retryDelay)
 	}
 	return err
 }
