Hold workspaces to the preset's limits; explain each choice

Cause: the limits of the preset in force were declared and not enforced, and neither log nor dump told why an endpoint was chosen. Ruled out: a call to the store for each request; a limit at one home process of a workspace, which is a hop and a point of failure on every request. Change: each entry enforces its part, the limit divided by the live entries that the companions hear from, which rides on replies. The log line of a request and the dump give the candidates with their estimates and the reason.

--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -94,6 +94,7 @@
 func (c *Companion) status() wire.Status {
 	load := c.Admission.Report()
 	load.Leaving = load.Leaving || c.drain.started()
+	load.Entries = c.outlets.count()
 	return wire.Status{
 		Incarnation:   c.options.Incarnation,
 		ConfigVersion: c.Config.Current().Version,
--- a/internal/companion/outlet.go
+++ b/internal/companion/outlet.go
@@ -264,6 +264,13 @@
 	return o.of(args.Incarnation).ctx
 }
 
+// count is how many entries are heard from.
+func (o *outlets) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.byCaller)
+}
+
 func (o *outlets) all() []*outlet {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -35,7 +35,9 @@
 	started    time.Time
 	candidates []usher.Candidate
 	endpoint   usher.EndpointName
-	copies     usher.Copies
+	// why is the reason for the endpoint that was offered the request last.
+	why    string
+	copies usher.Copies
 	// reply is the newest reply of a companion on the request.
 	reply *wire.SubmitReply
 	// keyed is set once refusals speak of the key and not of this attempt.
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -53,6 +53,7 @@
 	}
 	for range quickOffers {
 		best := accepted.candidates[0].Endpoint
+		accepted.why = whyRoom
 		got, final := e.offer(ctx, accepted, best, false, 0)
 		if final {
 			return got
@@ -84,6 +85,7 @@
 func (c *choice) wait(ctx context.Context) (result, bool) {
 	for c.count < maxAsked && ctx.Err() == nil {
 		c.rank()
+		c.accepted.why = whyWait
 		first, second := c.open()
 		if first == "" {
 			break
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -36,6 +36,7 @@
 	if refusal != nil {
 		refusal = accepted.honest(refusal).WithRequestID(accepted.ID)
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
+		decision.Why = refusal.Message
 		accepted.setHeld(accepted.heldAs(nil, refusal))
 		e.finish(decision, accepted.copies)
 		writeRefusal(w, refusal)
@@ -78,6 +79,8 @@
 	} else {
 		e.Recorder.Record(context.Background(), decision, copies)
 	}
+	candidates := formatCandidates(decision.Candidates)
+	e.explained.add(&decision, candidates)
 	e.Log.Info().
 		Str("requestId", string(decision.ID)).
 		Str("workspace", string(decision.Workspace)).
@@ -87,6 +90,8 @@
 		Int("attempts", int(decision.Attempts)).
 		Str("outcome", string(decision.Outcome)).
 		Str("refusal", string(decision.Refusal)).
+		Str("candidates", candidates).
+		Str("why", decision.Why).
 		Dur("duration", time.Duration(decision.Duration)).
 		Msg("requestEnded")
 }
@@ -96,6 +101,7 @@
 		Time: r.recordedTime(), ID: r.ID, Workspace: r.Workspace, TokenName: r.tokenName,
 		View: usher.ViewEntry, Service: r.Service, Tier: r.Tier, Key: string(r.Key),
 		ConfigVersion: r.snapshot.Version, Candidates: r.recordedCandidates(), Endpoint: r.endpoint,
+		Why:      r.why,
 		Attempts: r.Attempt, RequestSHA256: string(r.Digest),
 		Duration: usher.Duration(time.Since(r.started).Round(recordPrecision)),
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -28,6 +28,13 @@
 		e.end(w, accepted, nil, asRefusal(err))
 		return
 	}
+	limits, _ := accepted.snapshot.Limits(accepted.Tier)
+	permit, refusal := e.limits.Take(&accepted.RequestHeader, limits, e.Placer.Entries(accepted.Service))
+	if refusal != nil {
+		e.end(w, accepted, nil, refusal)
+		return
+	}
+	defer permit.Release()
 	ctx, cancel := context.WithDeadline(r.Context(), accepted.Deadline)
 	defer cancel()
 	got := e.dispatch(ctx, accepted)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/limit"
 	"filbertusher/internal/telemetry"
 	"filbertusher/pkg/usher"
 )
@@ -42,12 +43,14 @@
 // Entry is the state of the process.
 type Entry struct {
 	Dependencies
-	options  Options
-	peers    *peers
-	ids      idSource
-	views    *views
-	metrics  metrics
-	inflight inflight
+	options   Options
+	peers     *peers
+	limits    *limit.Limits
+	ids       idSource
+	views     *views
+	metrics   metrics
+	inflight  inflight
+	explained explanations
 }
 
 type metrics struct {
@@ -67,6 +70,7 @@
 	e := &Entry{
 		Dependencies: dependencies,
 		options:      options,
+		limits:       limit.New(),
 		ids:          newIDSource(options.Incarnation),
 		views:        newViews(),
 		metrics: metrics{
@@ -97,6 +101,8 @@
 		"incarnation":   e.options.Incarnation,
 		"configVersion": e.Config.Current().Version,
 		"peers":         e.peers.state(),
+		"limits":        e.limits.State(),
+		"decisions":     e.explained.state(),
 		"inFlight":      e.inflight.count.Load(),
 		"inFlightIds":   e.inflight.ids(maxReported),
 	}
--- a/internal/entry/late.go
+++ b/internal/entry/late.go
@@ -67,6 +67,7 @@
 		return got.result, false
 	}
 	c.crossOff(second)
+	c.accepted.why = whyGrant
 	return c.entry.offer(ctx, c.accepted, second, true, reply.Grant)
 }
 
@@ -91,6 +92,7 @@
 	}
 	c.entry.metrics.moved(1)
 	c.crossOff(second)
+	c.accepted.why = whyGrant
 	return c.entry.offer(ctx, c.accepted, second, true, grant)
 }
 
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,120 @@
+package limit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"filbertusher/pkg/usher"
+)
+
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		now := time.Unix(0, 0)
+		l := New()
+		l.now = func() time.Time { return now }
+		var limits usher.TierLimits
+		var held []Permit
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "limits":
+				limits = usher.TierLimits{}
+				var requests, tokens int
+				d.MaybeScanArgs(t, "requests", &requests)
+				d.MaybeScanArgs(t, "tokens", &tokens)
+				d.MaybeScanArgs(t, "concurrency", &limits.Concurrency)
+				limits.RequestsPerSecond, limits.TokensPerSecond = float64(requests), float64(tokens)
+			case "advance":
+				by, err := time.ParseDuration(d.CmdArgs[0].Key)
+				if err != nil {
+					t.Fatal(err)
+				}
+				now = now.Add(by)
+			case "release":
+				held[0].Release()
+				held = held[1:]
+			case "take":
+				entries, count, cost := 1, 1, 10
+				d.MaybeScanArgs(t, "entries", &entries)
+				d.MaybeScanArgs(t, "times", &count)
+				d.MaybeScanArgs(t, "cost", &cost)
+				h := &usher.RequestHeader{Workspace: "w", Tier: "t", Cost: usher.RequestCost{PromptTokens: usher.Tokens(cost)}}
+				for i := range count {
+					permit, refusal := l.Take(h, limits, float64(entries))
+					if refusal != nil {
+						return fmt.Sprintf("%d taken, then %s: %s, retry after %v\n", i, refusal.Kind, refusal.Message, refusal.RetryAfter)
+					}
+					held = append(held, permit)
+				}
+				return fmt.Sprintf("%d taken\n", count)
+			}
+			return ""
+		})
+	})
+}
+
+// TestSumOverEntries holds for any spread of requests over entries that know
+// their number: the sum passes the limit by no more than the stated bound.
+func TestSumOverEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		entries := make([]*Limits, rapid.IntRange(1, 8).Draw(t, "entries"))
+		for i := range entries {
+			entries[i] = New()
+			entries[i].now = func() time.Time { return now }
+		}
+		limits := usher.TierLimits{
+			RequestsPerSecond: float64(rapid.IntRange(1, 50).Draw(t, "requests")),
+			Concurrency:       rapid.IntRange(1, 50).Draw(t, "concurrency"),
+		}
+		h := &usher.RequestHeader{Workspace: "w", Tier: "t"}
+		start := now
+		taken, inFlight := 0, 0
+		var held []Permit
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * time.Millisecond)
+			if len(held) > 0 && rapid.Bool().Draw(t, "release") {
+				held[0].Release()
+				held = held[1:]
+				inFlight--
+				continue
+			}
+			permit, refusal := entries[rapid.IntRange(0, len(entries)-1).Draw(t, "entry")].Take(h, limits, float64(len(entries)))
+			if refusal == nil {
+				held = append(held, permit)
+				taken++
+				inFlight++
+			}
+			elapsed := now.Sub(start).Seconds()
+			if most := limits.RequestsPerSecond*(elapsed+burstTime.Seconds()) + float64(len(entries)); float64(taken) > most {
+				t.Fatalf("%d requests in %vs at %v/s and %d entries", taken, elapsed, limits.RequestsPerSecond, len(entries))
+			}
+			if inFlight > limits.Concurrency+len(entries)-1 {
+				t.Fatalf("%d in flight, limit %d, %d entries", inFlight, limits.Concurrency, len(entries))
+			}
+		}
+	})
+}
+
+// BenchmarkTake is one decision at the target's number of workspaces.
+func BenchmarkTake(b *testing.B) {
+	l := New()
+	limits := usher.TierLimits{RequestsPerSecond: 1e9, TokensPerSecond: 1e12, Concurrency: 1000}
+	headers := make([]usher.RequestHeader, 34000)
+	for i := range headers {
+		headers[i] = usher.RequestHeader{Workspace: usher.WorkspaceName(fmt.Sprint("workspace-", i)), Tier: "t"}
+	}
+	for i := range headers {
+		permit, _ := l.Take(&headers[i], limits, 330)
+		permit.Release()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		permit, _ := l.Take(&headers[i%len(headers)], limits, 330)
+		permit.Release()
+	}
+}
--- a/internal/placement/queries.go
+++ b/internal/placement/queries.go
@@ -41,3 +41,23 @@
 	report := v.report.Load()
 	return report == nil || p.now().Sub(report.Taken) > fresh || report.LowestKept > rank
 }
+
+// Entries estimates how many live entries serve callers, from what the
+// companions of a service hear. Where each entry works with a subset of the
+// endpoints, a companion hears from the same share of the entries.
+func (p *Placer) Entries(service usher.ServiceName) float64 {
+	t := p.current()
+	views := t.byService[service]
+	heard, count := 0, 0
+	for _, v := range views {
+		if report := v.report.Load(); report != nil && report.Entries > 0 {
+			heard += report.Entries
+			count++
+		}
+	}
+	if count == 0 {
+		return 1
+	}
+	share := float64(len(views)) / float64(len(t.snapshot.ByService[service]))
+	return max(1, float64(heard)/float64(count)/share)
+}
--- a/internal/waiting/pace.go
+++ b/internal/waiting/pace.go
@@ -200,6 +200,13 @@
 	return e
 }
 
+// known says whether estimates rest on what was seen and not on guesses.
+func (p *pace) known() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.knownAnswers && p.best > 0
+}
+
 // answered learns how much of the bound that callers give answers take.
 func (p *pace) answered(tokens, bound usher.Tokens) {
 	if bound <= 0 {
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -98,6 +98,8 @@
 	// nothing waits.
 	LowestKept Rank
 	Leaving    bool
+	// Entries is how many live entries the companion hears from.
+	Entries int
 	// Taken is when the report was made, by the reader's clock on arrival.
 	Taken time.Time
 }
@@ -107,6 +109,8 @@
 	// Candidates returns the endpoints of the request's service in the order
 	// in which they should be tried. It allocates only when into is too small.
 	Candidates(header *RequestHeader, into []Candidate) []Candidate
+	// Entries estimates how many live entries serve callers of the service.
+	Entries(service ServiceName) float64
 	// Observe takes in a report that came with a reply.
 	Observe(report LoadReport)
 	// Assigned tells that a request was offered to an endpoint, and Released
--- a/pkg/usher/record.go
+++ b/pkg/usher/record.go
@@ -45,6 +45,9 @@
 	AnswerSHA256  string   `json:"answerSha256,omitempty"`
 	AnswerBytes   int64    `json:"answerBytes,omitempty"`
 	Duration      Duration `json:"duration"`
+	// Why is the reason for the choice or refusal. It is logged and shown in
+	// the dump, and not recorded.
+	Why string `json:"-"`
 }
 
 // RecordContext is what a companion needs besides the header of a request to
