--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -6,17 +6,30 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
 )
 
-// loopback lets a proxy pick a free port. It is not the address that outgoing
-// connections on loopback come from, so a proxy that went down finds its port
-// free when it comes up again.
-const loopback = "127.0.1.1:0"
+// made counts the sets of proxies in this process.
+var made atomic.Uint32
+
+// newLoopback returns an address on which proxies pick a free port. It is not
+// the one that outgoing connections on loopback come from, and no other set of
+// proxies has it, so a proxy that went down finds its port free when it comes
+// up again.
+func newLoopback() string {
+	set := made.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+os.Getpid()%hosts, 1+set/hosts%hosts, 1+set%hosts)
+}
+
+// hosts is how many values of one byte of an address are used.
+const hosts = 250
 
 // UnknownLinkError is returned for a link that has no proxy.
 type UnknownLinkError struct{ Link string }
@@ -43,7 +56,8 @@
 
 // Proxies is one proxy for each link.
 type Proxies struct {
-	server *toxiproxy.ApiServer
+	server   *toxiproxy.ApiServer
+	loopback string
 
 	mu     sync.Mutex
 	byLink map[string]*toxiproxy.Proxy
@@ -52,12 +66,12 @@
 // New returns no proxies. Its method Via fits fleet.Plan.
 func New() *Proxies {
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	return &Proxies{server: server, byLink: make(map[string]*toxiproxy.Proxy)}
+	return &Proxies{server: server, loopback: newLoopback(), byLink: make(map[string]*toxiproxy.Proxy)}
 }
 
 // Via starts a proxy in front of a process and returns the proxy's address.
 func (p *Proxies) Via(process, address string) (string, error) {
-	proxy := toxiproxy.NewProxy(p.server, process, loopback, address)
+	proxy := toxiproxy.NewProxy(p.server, process, p.loopback, address)
 	if err := proxy.Start(); err != nil {
 		return "", err
 	}
