--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -60,7 +60,7 @@
 	command.Settings.Duration(&p.recordSilence, "record-silence", 30*time.Second, 100*time.Millisecond, time.Hour, "how long an entry may be silent before its part of the record is stored from here; three times the entries' record-interval or more")
 	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what copies for the record may take in memory, in bytes")
 	command.Settings.Duration(&p.keyRetention, "key-retention", 24*time.Hour, time.Minute, 30*24*time.Hour, "how long idempotency keys are remembered where the service declares no time")
-	command.Settings.Int(&p.journalWrites, "journal-writes", 20, 1, 1000, "how many writes a second may go to the journals of this companion")
+	command.Settings.Int(&p.journalWrites, "journal-writes", 5, 1, 1000, "how many writes a second may go to the journal of one slot of keys")
 	command.Settings.Duration(&p.ticketLife, "ticket-life", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket can be used")
 	command.Settings.Int(&p.maxKeys, "max-keys", 20000, 1, 1000000, "how many keys one slot, and all tickets together, may remember")
 	command.Run = p.run
