--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 	rm -rf bin out
 
 # PREVIOUS is the revision that the policy "previous" of an experiment runs.
-PREVIOUS ?= 1da491e
+PREVIOUS ?= f716c0d
 
 out/previous/filbertusher:
 	rm -rf out/previous
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		now := time.Unix(0, 0)
 		l := New()
 		l.now = func() time.Time { return now }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -53,7 +53,7 @@
 }
 
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		now := time.Unix(0, 0)
 		var p *Placer
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
--- a/internal/waiting/room_test.go
+++ b/internal/waiting/room_test.go
@@ -62,7 +62,7 @@
 }
 
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		var b *bench
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			if d.Cmd == "room" {
