Hold 34,000 workspaces within 64 MB a process

Cause: at 34,000 workspaces a process had 101 MiB resident, 88 of its own: a load held the whole configuration several times, and the collector let the heap grow to twice that. Ruled out: a limit on memory (GOMEMLIMIT), which would starve an entry with large bodies in flight; GOGC alone, which left 84 MiB of its own. Change: pages are taken in one by one; the collector runs more often when the configuration is large; what large work left behind is given back after it. A change is tried anew when the store's budget refused a call.

--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -52,24 +52,20 @@
 	return objects
 }
 
-// WithPages returns the snapshot in which whole pages are replaced.
-func (s *Snapshot) WithPages(head *Head, pages map[int][]usher.Object) (*Snapshot, error) {
-	var changed []usher.Object
-	present := make(map[usher.ObjectKey]bool)
-	for _, objects := range pages {
-		changed = append(changed, objects...)
-		for _, object := range objects {
-			present[object.Key] = true
-		}
+// WithPage returns the snapshot in which a whole page is replaced.
+func (s *Snapshot) WithPage(head *Head, number int, objects []usher.Object) (*Snapshot, error) {
+	present := make(map[usher.ObjectKey]bool, len(objects))
+	for _, object := range objects {
+		present[object.Key] = true
 	}
 	var deleted []usher.ObjectKey
 	s.each(func(kind Kind, name string, _ any) {
-		if _, replaced := pages[pageOf(bucketOf(kind, name))]; !replaced {
+		if pageOf(bucketOf(kind, name)) != number {
 			return
 		}
 		if key := Key(kind, name); !present[key] {
 			deleted = append(deleted, key)
 		}
 	})
-	return s.With(head, changed, deleted)
+	return s.With(head, objects, deleted)
 }
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -58,20 +58,35 @@
 }
 
 // Load returns the snapshot of a head. It reads only the parts in which from
-// differs from the head; from may be Empty.
+// differs from the head; from may be Empty. The pages are taken in one by one,
+// so that a whole configuration is never held twice.
 func Load(ctx context.Context, store usher.Store, head *Head, from *Snapshot) (*Snapshot, error) {
-	l := &loader{store: store, from: from, present: make(map[usher.ObjectKey]bool)}
-	if err := l.readPages(ctx, head); err != nil {
-		return nil, err
-	}
-	if err := l.readBuckets(ctx); err != nil {
-		return nil, err
+	next := from
+	for number := range pageCount {
+		if !next.PageDiffers(head, number) {
+			continue
+		}
+		l := &loader{store: store, from: next, present: make(map[usher.ObjectKey]bool)}
+		err := l.readPage(ctx, number, head)
+		if err == nil {
+			err = l.readBuckets(ctx)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if next, err = next.With(head, l.changed, l.deleted()); err != nil {
+			return nil, err
+		}
 	}
-	snapshot, err := from.With(head, l.changed, l.deleted())
-	if err != nil {
-		return nil, err
+	if next == from {
+		// Nothing differs but the head itself.
+		same, err := from.With(head, nil, nil)
+		if err != nil {
+			return nil, err
+		}
+		next = same
 	}
-	return snapshot, snapshot.Verify()
+	return next, next.Verify()
 }
 
 // Verify says whether the objects are those that the head was accepted with.
@@ -88,42 +103,30 @@
 	return nil
 }
 
+// loader reads one page.
 type loader struct {
 	store usher.Store
 	from  *Snapshot
 
-	mu sync.Mutex
 	// differing maps each bucket that has to be read to its digest.
 	differing map[bucketIndex]usher.Digest
+
+	mu        sync.Mutex
 	changed   []usher.Object
 	present   map[usher.ObjectKey]bool
 }
 
-// readPages finds the buckets that differ.
-func (l *loader) readPages(ctx context.Context, head *Head) error {
+// readPage finds the buckets of a page that differ.
+func (l *loader) readPage(ctx context.Context, number int, head *Head) error {
 	l.differing = make(map[bucketIndex]usher.Digest)
-	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(loadParallel)
-	for number := range pageCount {
-		var digest usher.Digest
-		if number < len(head.Pages) {
-			digest = head.Pages[number]
-		}
-		if digest == l.from.tree.pages[number] {
-			continue
-		}
-		group.Go(func() error { return l.readPage(ctx, number, digest) })
+	var digest usher.Digest
+	if number < len(head.Pages) {
+		digest = head.Pages[number]
 	}
-	return group.Wait()
-}
-
-func (l *loader) readPage(ctx context.Context, number int, digest usher.Digest) error {
 	content := page{Buckets: make([]usher.Digest, bucketsPerPage)}
 	if err := l.read(ctx, pagePrefix, digest, &content); err != nil {
 		return err
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	for i, bucketDigest := range content.Buckets {
 		index := number*bucketsPerPage + i
 		if i < bucketsPerPage && bucketDigest != l.from.tree.buckets[index] {
--- a/internal/config/snapshot.go
+++ b/internal/config/snapshot.go
@@ -121,7 +121,11 @@
 
 // Build returns the snapshot that the objects make at version.
 func Build(objects []usher.Object, version usher.Version) (*Snapshot, error) {
-	return Empty().With(&Head{Version: version}, objects, nil)
+	s, err := Empty().With(&Head{Version: version}, objects, nil)
+	if err == nil && s.inForce != nil && s.InForce == nil {
+		return nil, &MissingPresetError{Preset: s.inForce.Preset}
+	}
+	return s, err
 }
 
 // Identify returns whose bearer token has the digest.
--- a/internal/config/update.go
+++ b/internal/config/update.go
@@ -152,12 +152,10 @@
 		s.indexEndpoints()
 	}
 	s.InForce = nil
-	if s.inForce != nil && s.inForce.Preset != "" {
-		preset, ok := s.Presets[s.inForce.Preset]
-		if !ok {
-			return &MissingPresetError{Preset: s.inForce.Preset}
-		}
-		s.InForce = preset
+	if s.inForce != nil {
+		// It is nil while a configuration is loaded page by page; Check refuses a
+		// whole one in which the preset is missing.
+		s.InForce = s.Presets[s.inForce.Preset]
 	}
 	return u.digest()
 }
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -19,6 +19,9 @@
 	maxAttempts = 100
 	// attemptDelay is the longest pause before such a try.
 	attemptDelay = 20 * time.Millisecond
+	// maxRefused bounds how often a change is tried anew after the store refused a
+	// call, for example because others had used up its budget.
+	maxRefused = 5
 	// settleAttempts bounds the tries to find out what became of a write.
 	settleAttempts = 10
 	// settleDelay is the pause between two of them.
@@ -40,8 +43,15 @@
 		return nil, err
 	}
 	current := base
+	refused := 0
 	for attempt := 0; ; attempt++ {
 		next, again, err := o.attempt(ctx, &change, base, &current)
+		if isUnavailable(err) && refused < maxRefused {
+			// The store refused a call, of which it promises that it had no effect.
+			refused++
+			pause(ctx, settleDelay)
+			continue
+		}
 		if err != nil || !again {
 			return next, err
 		}
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -149,7 +149,20 @@
 			return next, keysOf(reply.Objects, reply.Deleted), nil
 		}
 	}
-	pages := make(map[int][]usher.Object)
+	next, err := s.fetchPages(ctx, address, from, head)
+	if err != nil {
+		return nil, nil, err
+	}
+	if next.Verify() != nil {
+		return nil, nil, &NoPageError{Peer: address}
+	}
+	return next, nil, nil
+}
+
+// fetchPages replaces the pages that differ, one by one, so that a whole
+// configuration is never held twice.
+func (s *Spread) fetchPages(ctx context.Context, address string, from *config.Snapshot, head *config.Head) (*config.Snapshot, error) {
+	next := from
 	for number := range config.PageCount {
 		if !from.PageDiffers(head, number) {
 			continue
@@ -157,15 +170,17 @@
 		page := &wire.PageReply{}
 		args := &wire.PageArgs{Caller: s.caller(), Version: head.Version, Page: number}
 		if err := s.call(ctx, address, pageTimeout, wire.MethodPage, args, page); err != nil {
-			return nil, nil, err
+			return nil, err
+		}
+		var err error
+		if next, err = next.WithPage(head, number, page.Objects); err != nil {
+			return nil, err
 		}
-		pages[number] = page.Objects
 	}
-	next, err := from.WithPages(head, pages)
-	if err != nil || next.Verify() != nil {
-		return nil, nil, &NoPageError{Peer: address}
+	if next == from {
+		return from.With(head, nil, nil)
 	}
-	return next, nil, nil
+	return next, nil
 }
 
 func keysOf(objects []usher.Object, deleted []usher.ObjectKey) []usher.ObjectKey {
--- a/internal/spread/rpc.go
+++ b/internal/spread/rpc.go
@@ -59,6 +59,7 @@
 	s.full <- struct{}{}
 	defer func() { <-s.full }()
 	s.metrics.pages(1)
+	s.memory.worked.Add(1)
 	current := s.pin.of(args.Version, s.holder.Current())
 	reply.ConfigVersion = current.Version
 	reply.Objects = current.PageObjects(args.Page)
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -57,6 +57,8 @@
 	// full bounds the pages that are sent at the same time.
 	full chan struct{}
 	pin  pin
+	// memory is trimmed after large work.
+	memory memory
 }
 
 type metrics struct {
@@ -100,6 +102,7 @@
 	}
 	group.Go(func() error { return s.askAcross(ctx) })
 	group.Go(func() error { return s.listen(ctx) })
+	group.Go(func() error { return s.memory.run(ctx) })
 	err := group.Wait()
 	s.closeLinks()
 	return err
@@ -120,6 +123,7 @@
 		return false
 	}
 	s.changes.add(&from.Head, &next.Head, keys)
+	s.memory.adjust(next)
 	s.log.Info().Uint64("version", uint64(next.Version)).Str("change", string(next.Head.ID)).Msg("configInForce")
 	return true
 }
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -209,6 +209,11 @@
 	if err != nil {
 		return err
 	}
+	if from.Version == 0 {
+		// Everything changed, which need not be listed.
+		s.take(from, next, nil)
+		return nil
+	}
 	changed, deleted := config.Difference(from, next)
 	s.take(from, next, keysOf(changed, deleted))
 	return nil
