Recognise requests that crash their endpoint, try them alone, refuse them

Cause: a request that crashes each endpoint which runs it was run again whenever its caller sent it. Ruled out: fingerprints by key or id, because a caller that sends it again may change them; refusing all that ran in a crash, because most are innocent. Knowledge travels on every reply and through one object of the store; suspects list and clear.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -57,7 +57,7 @@
 		newEntryCommand(), newCompanionCommand(), newDumpCommand(),
 		newCheckCommand(), newDiffCommand(), newGetCommand(), newHistoryCommand(),
 		newApplyCommand(), newRollbackCommand(), newPruneCommand(), newPresetCommand(), newLeaveCommand(), newStopCommand(),
-		newRecordCommand(),
+		newRecordCommand(), newSuspectsCommand(),
 	}
 }
 
--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -14,6 +14,7 @@
 	"filbertusher/internal/ledger"
 	"filbertusher/internal/link"
 	"filbertusher/internal/record"
+	"filbertusher/internal/suspect"
 	"filbertusher/internal/waiting"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
@@ -41,6 +42,7 @@
 	journalWrites   int
 	ticketLife      time.Duration
 	maxKeys         int
+	maxCrashes      int
 }
 
 func newCompanionCommand() *Command {
@@ -63,6 +65,7 @@
 	command.Settings.Int(&p.journalWrites, "journal-writes", 5, 1, 1000, "how many writes a second may go to the journal of one slot of keys")
 	command.Settings.Duration(&p.ticketLife, "ticket-life", 10*time.Minute, time.Second, 24*time.Hour, "how long a ticket can be used")
 	command.Settings.Int(&p.maxKeys, "max-keys", 20000, 1, 1000000, "how many keys one slot, and all tickets together, may remember")
+	command.Settings.Int(&p.maxCrashes, "max-crashes", 2, 1, 100, "how often a request may be in an endpoint that crashes before it is refused")
 	command.Run = p.run
 	return command
 }
@@ -114,12 +117,16 @@
 		Running: p.running, Waiting: p.waiting, WaitingTokens: usher.Tokens(p.waitingTokens),
 		TokenPace: p.tokenPace, Fixed: p.protocol == string(usher.ServicePlain), Share: p.config.ShareOf, Preempt: p.config.Preempts,
 	})
+	suspects := suspect.NewTable()
+	p.group.Go(func() error { return suspects.Follow(ctx, p.store, true, p.log) })
+	p.admin.Section("suspects", suspects.State)
 	fence := companion.NewFence(p.store, name, p.incarnation, p.log)
 	beside := companion.New(companion.Options{
 		Endpoint: name, Incarnation: p.incarnation,
 		TicketLife: p.ticketLife, TicketRetention: p.retention, MaxTickets: p.maxKeys,
+		MaxCrashes: p.maxCrashes,
 	}, companion.Dependencies{
-		Journal: p.book(name), Fence: fence.Current,
+		Suspects: suspects, Journal: p.book(name), Fence: fence.Current,
 		Config: p.config, Backend: p.backend(),
 		Admission: room,
 		Ledger:    ledger.New(p.retention), Keeper: keeper, Log: p.log,
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -11,6 +11,7 @@
 	"filbertusher/internal/member"
 	"filbertusher/internal/placement"
 	"filbertusher/internal/record"
+	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
 )
 
@@ -20,6 +21,7 @@
 // entryProcess is the settings of the entry.
 type entryProcess struct {
 	process
+	maxCrashes int
 	tuning
 	listen         string
 	peerListen     string
@@ -51,6 +53,7 @@
 	command.Settings.Int(&p.subset, "endpoints", 16, 1, 10000, "how many endpoints of each service this process works with")
 	command.Settings.Bool(&p.lateDecision, "late-decision", true, "reserve room at a second endpoint for a request that has to wait")
 	command.Settings.Int(&p.subsetOther, "endpoints-elsewhere", 2, 0, 10000, "how many of them are kept in other availability zones")
+	command.Settings.Int(&p.maxCrashes, "max-crashes", 2, 1, 100, "how often a request may be in an endpoint that crashes before it is refused")
 	command.Run = p.run
 	return command
 }
@@ -80,9 +83,13 @@
 	placer := placement.New(p.config, usher.AvailabilityZone(p.zone))
 	p.record.Limit = int64(p.recordLimit)
 	recorder := record.NewRecorder(p.record, p.store, p.incarnation, p.log)
+	suspects := suspect.NewTable()
+	p.group.Go(func() error { return suspects.Follow(ctx, p.store, false, p.log) })
+	p.admin.Section("suspects", suspects.State)
 	server := entry.New(entry.Options{
 		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, Peer: peerAddress, LateDecision: p.lateDecision,
-	}, entry.Dependencies{Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
+		MaxCrashes: p.maxCrashes,
+	}, entry.Dependencies{Suspects: suspects, Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
 	p.admin.Section("entry", server.State)
 	p.admin.Section("placement", placer.State)
 	p.admin.Section("record", recorder.State)
--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -14,6 +14,7 @@
 	"filbertusher/internal/config"
 	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
+	"filbertusher/internal/suspect"
 	"filbertusher/internal/telemetry"
 	"filbertusher/internal/ticket"
 	"filbertusher/internal/wire"
@@ -30,6 +31,9 @@
 	TicketRetention time.Duration
 	// MaxTickets bounds the used tickets that are remembered.
 	MaxTickets int
+	// MaxCrashes is how often a request may be in an endpoint that crashes
+	// before it is refused.
+	MaxCrashes int
 }
 
 // Dependencies are what a companion works with.
@@ -39,6 +43,7 @@
 	Admission usher.Admission
 	Ledger    *ledger.Ledger
 	Journal   *journal.Book
+	Suspects  *suspect.Table
 	// Fence returns the fencing number of this incarnation, 0 when it has none.
 	Fence  func() usher.Fence
 	Keeper usher.RecordKeeper
@@ -55,6 +60,7 @@
 	drain        *drain
 	issuer       *ticket.Issuer
 	tickets      *journal.Slot
+	gate         *suspect.Gate
 	// stopping is set by a planned stop, which can't be called off.
 	stopping atomic.Bool
 }
@@ -77,6 +83,7 @@
 		outlets:      newOutlets(),
 		reservations: newReservations(),
 		issuer:       ticket.NewIssuer(ticket.Named{Endpoint: options.Endpoint, Incarnation: options.Incarnation}),
+		gate:         suspect.NewGate(),
 		tickets:      journal.NewLocal(options.TicketLife+options.TicketRetention, options.MaxTickets),
 		drain:        newDrain(),
 		metrics: metrics{
@@ -98,6 +105,7 @@
 		Incarnation:   c.options.Incarnation,
 		ConfigVersion: c.Config.Current().Version,
 		Load:          load,
+		Suspects:      c.Suspects.Shared(),
 	}
 }
 
--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -28,6 +28,7 @@
 	stream, answer, err := w.openStream(ctx)
 	if err != nil {
 		defer w.finished(slot)
+		w.noteCrash(ctx, err)
 		w.cancelInEndpoint()
 		refusal := w.failure(ctx, err)
 		w.end(nil, refusal)
@@ -96,6 +97,7 @@
 // endStream tells the entry whether it has the whole answer.
 func (w *work) endStream(ctx context.Context, reader *streamReader, err error) {
 	if err != nil {
+		w.noteCrash(ctx, err)
 		refusal := w.failure(ctx, err)
 		w.end(nil, refusal)
 		event := wire.Event{Stream: reader.number, Offset: reader.next, End: wire.EndBroken, Refusal: refusal}
@@ -104,6 +106,7 @@
 		w.cancelInEndpoint()
 		return
 	}
+	w.survived()
 	reader.slot.Answered(usher.Tokens(reader.next))
 	w.entry.Finish(&usher.Answer{}, nil)
 	if w.key != nil {
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -24,6 +24,10 @@
 	cancel    context.CancelFunc
 	// key is the entry of the request's key; nil for requests that may repeat.
 	key *journal.Entry
+	// entered is set while the request is in the endpoint, alone when it is
+	// there by itself because it is suspected of a crash.
+	entered bool
+	alone   bool
 	// engineID is the id in the endpoint of a request that was paused; the
 	// endpoint has cancelled the request's own id then.
 	engineID usher.RequestID
@@ -72,6 +76,11 @@
 // dispatch sends the request to the endpoint, unless it was withdrawn.
 func (w *work) dispatch(ctx context.Context, slot usher.Slot) wire.SubmitReply {
 	c := w.companion
+	if refusal := w.enter(ctx); refusal != nil {
+		w.finished(slot)
+		w.end(nil, refusal)
+		return c.refused(refusal)
+	}
 	if !w.entry.Dispatch() {
 		w.finished(slot)
 		if w.key != nil {
@@ -86,11 +95,13 @@
 	answer, slot, elapsed, err := w.call(ctx, slot)
 	defer w.finished(slot)
 	if err != nil {
+		w.noteCrash(ctx, err)
 		w.cancelInEndpoint()
 		refusal := w.failure(ctx, err)
 		w.end(nil, refusal)
 		return c.refused(refusal)
 	}
+	w.survived()
 	observe(slot, elapsed, answer.Usage)
 	w.end(answer, nil)
 	return wire.SubmitReply{Status: c.status(), State: wire.StateAnswered, Answer: answer}
@@ -102,6 +113,7 @@
 	if slot != nil {
 		slot.Release()
 	}
+	w.leave()
 	w.cancel()
 	w.companion.drain.end()
 }
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"strings"
 
 	"filbertusher/pkg/usher"
 )
@@ -17,6 +19,17 @@
 	return &Plain{client{base: "http://" + address, http: httpClient}}
 }
 
+// Listens says whether the service accepts connections.
+func (p *Plain) Listens(ctx context.Context) bool {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", strings.TrimPrefix(p.base, "http://"))
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // Stream implements usher.Backend: the answer is always whole.
 func (p *Plain) Stream(ctx context.Context, id usher.RequestID, fence usher.Fence, call *usher.Call) (usher.EventStream, *usher.Answer, error) {
 	answer, err := p.Call(ctx, id, fence, call)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -54,6 +54,9 @@
 	if peer == nil {
 		return result{}, false
 	}
+	if refusal := e.suspected(accepted); refusal != nil {
+		return refused(refusal), true
+	}
 	accepted.Attempt++
 	accepted.endpoint = endpoint
 	e.Placer.Assigned(endpoint, &accepted.RequestHeader)
@@ -86,6 +89,7 @@
 // is not final where another endpoint may still take it.
 func (e *Entry) judge(reply *wire.SubmitReply, stream *incoming) (result, bool) {
 	e.Placer.Observe(reply.Load)
+	e.Suspects.Learn(reply.Suspects)
 	switch reply.State {
 	case wire.StateAnswered:
 		return result{answer: reply.Answer}, true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/suspect"
 	"filbertusher/internal/telemetry"
 	"filbertusher/pkg/usher"
 )
@@ -18,6 +19,9 @@
 // Options of an entry.
 type Options struct {
 	Incarnation usher.Incarnation
+	// MaxCrashes is how often a request may be in an endpoint that crashes
+	// before it is refused.
+	MaxCrashes int
 	// MaxBody bounds a caller's body, in bytes.
 	MaxBody int64
 	// MaxTimeout bounds the time that a caller may give a request.
@@ -36,6 +40,7 @@
 	Config   *config.Holder
 	Placer   usher.Placer
 	Recorder usher.Recorder
+	Suspects *suspect.Table
 	Log      zerolog.Logger
 }
 
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -78,6 +78,9 @@
 // known or its deadline has passed. It goes on when the caller has gone, for
 // the caller can ask for the outcome by sending the key again.
 func (e *Entry) dispatchKeyed(ctx context.Context, accepted *request) result {
+	if refusal := e.suspected(accepted); refusal != nil {
+		return refused(refusal)
+	}
 	accepted.keyed = true
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), accepted.Deadline)
 	defer cancel()
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
 )
 
@@ -42,6 +43,8 @@
 	Incarnation   usher.Incarnation
 	ConfigVersion usher.Version
 	Load          usher.LoadReport
+	// Suspects are the requests that were in endpoints that crashed lately.
+	Suspects []suspect.Suspect
 }
 
 // SubmitArgs offers a request with its body.
--- a/pkg/usher/ids.go
+++ b/pkg/usher/ids.go
@@ -86,5 +86,7 @@
 	Digest Digest
 	// Idempotent requests may run again after an unsure attempt.
 	Idempotent bool
-	Stream     bool
+	// Crashes is how often the same request was in an endpoint that crashed.
+	Crashes int
+	Stream  bool
 }
