Check the settings of a process without starting it

Cause: the check command looks at declarations only. Ruled out: a subcommand that repeats every flag of the processes.

--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -27,6 +27,7 @@
 type companionProcess struct {
 	process
 	tuning
+	dryRun
 	listen          string
 	endpointName    string
 	endpointAddress string
@@ -50,6 +51,7 @@
 	p := &companionProcess{}
 	p.declare(command.Settings)
 	p.declareTuning(command.Settings, companionProcessors)
+	p.declareDryRun(command.Settings)
 	command.Settings.Address(&p.listen, "listen", "127.0.0.1:9090", true, "where entries reach this process")
 	command.Settings.Text(&p.endpointName, "endpoint", "", true, "the name of the endpoint's declaration")
 	command.Settings.Address(&p.endpointAddress, "endpoint-address", "", true, "where the endpoint itself is reached")
@@ -97,7 +99,10 @@
 	}, p.store, prober)
 }
 
-func (p *companionProcess) run(signalled context.Context, _, errOut io.Writer) error {
+func (p *companionProcess) run(signalled context.Context, out, errOut io.Writer) error {
+	if p.done(out) {
+		return nil
+	}
 	p.tune()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -23,6 +23,7 @@
 	process
 	maxCrashes int
 	tuning
+	dryRun
 	listen         string
 	peerListen     string
 	maxBody        int
@@ -41,6 +42,7 @@
 	p := &entryProcess{}
 	p.declare(command.Settings)
 	p.declareTuning(command.Settings, entryProcessors)
+	p.declareDryRun(command.Settings)
 	command.Settings.Address(&p.listen, "listen", "127.0.0.1:8080", true, "where callers reach this process")
 	command.Settings.Address(&p.peerListen, "peer-listen", "127.0.0.1:0", true, "where other processes of the system reach this one")
 	command.Settings.Int(&p.maxBody, "max-body", 8<<20, 1<<10, 256<<20, "the largest body of a request, in bytes")
@@ -58,7 +60,10 @@
 	return command
 }
 
-func (p *entryProcess) run(signalled context.Context, _, errOut io.Writer) error {
+func (p *entryProcess) run(signalled context.Context, out, errOut io.Writer) error {
+	if p.done(out) {
+		return nil
+	}
 	p.tune()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
