--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"filbertusher/internal/config"
 	"filbertusher/internal/limit"
+	"filbertusher/internal/suspect"
 	"filbertusher/internal/telemetry"
 	"filbertusher/pkg/usher"
 )
@@ -19,6 +20,9 @@
 // Options of an entry.
 type Options struct {
 	Incarnation usher.Incarnation
+	// MaxCrashes is how often a request may be in an endpoint that crashes
+	// before it is refused.
+	MaxCrashes int
 	// MaxBody bounds a caller's body, in bytes.
 	MaxBody int64
 	// MaxTimeout bounds the time that a caller may give a request.
@@ -37,6 +41,7 @@
 	Config   *config.Holder
 	Placer   usher.Placer
 	Recorder usher.Recorder
+	Suspects *suspect.Table
 	Log      zerolog.Logger
 }
 
