--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -32,6 +32,7 @@
 	record         record.Options
 	recordLimit    int
 	lateDecision   bool
+	reservations   int
 	subset         int
 	subsetOther    int
 }
@@ -52,6 +53,7 @@
 	command.Settings.Int(&p.recordLimit, "record-memory", 16<<20, 64<<10, 1<<30, "what the record may hold in memory while it can't be stored, in bytes")
 	command.Settings.Int(&p.subset, "endpoints", 16, 1, 10000, "how many endpoints of each service this process works with")
 	command.Settings.Bool(&p.lateDecision, "late-decision", true, "reserve room at a second endpoint for a request that has to wait")
+	command.Settings.Int(&p.reservations, "reservations-per-second", 1000, 1, 1000000, "how many of these reservations this process makes at most; each costs about half a kilobyte")
 	command.Settings.Int(&p.subsetOther, "endpoints-elsewhere", 2, 0, 10000, "how many of them are kept in other availability zones")
 	command.Settings.Int(&p.maxCrashes, "max-crashes", 2, 1, 100, "how often a request may be in an endpoint that crashes before it is refused")
 	command.Run = p.run
@@ -87,7 +89,7 @@
 	p.group.Go(func() error { return suspects.Follow(ctx, p.store, false, p.log) })
 	p.admin.Section("suspects", suspects.State)
 	server := entry.New(entry.Options{
-		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, Peer: peerAddress, LateDecision: p.lateDecision,
+		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, Peer: peerAddress, LateDecision: p.lateDecision, ReservationRate: p.reservations,
 		MaxCrashes: p.maxCrashes,
 	}, entry.Dependencies{Suspects: suspects, Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
 	p.admin.Section("entry", server.State)
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -101,7 +101,7 @@
 
 // waitAt keeps the request at first, and crosses off what refused it.
 func (c *choice) waitAt(ctx context.Context, first, second usher.EndpointName) (result, bool) {
-	if second != "" && c.entry.options.LateDecision {
+	if second != "" && c.entry.options.LateDecision && c.entry.reservations.Allow() {
 		return c.waitAtTwo(ctx, first, second)
 	}
 	c.crossOff(first)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"filbertusher/internal/config"
 	"filbertusher/internal/limit"
@@ -32,6 +33,9 @@
 	// LateDecision reserves room at a second endpoint for a request that has
 	// to wait.
 	LateDecision bool
+	// ReservationRate bounds the reservations a second; a request beyond it
+	// waits at one endpoint only.
+	ReservationRate int
 	// Peer is the address of the entry's own peer listener.
 	Peer string
 }
@@ -48,14 +52,16 @@
 // Entry is the state of the process.
 type Entry struct {
 	Dependencies
-	options   Options
-	peers     *peers
-	limits    *limit.Limits
-	ids       idSource
-	views     *views
-	metrics   metrics
-	inflight  inflight
-	explained explanations
+	options Options
+	peers   *peers
+	limits  *limit.Limits
+	// reservations is the budget of reservations, which are control messages.
+	reservations *rate.Limiter
+	ids          idSource
+	views        *views
+	metrics      metrics
+	inflight     inflight
+	explained    explanations
 }
 
 type metrics struct {
@@ -76,6 +82,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		limits:       limit.New(),
+		reservations: rate.NewLimiter(rate.Limit(options.ReservationRate), options.ReservationRate),
 		ids:          newIDSource(options.Incarnation),
 		views:        newViews(),
 		metrics: metrics{
