Test that a peer that does not read holds up no caller

Cause: the bound on writes of a link had no test of its own. Change: internal/link tests for calls, frozen and unreachable peers. Measured: green with -race, 3.6 s; with the bound taken out on a scratch copy TestFrozenPeer hangs to its timeout.

--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,92 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// hangTimeout ends a test that hangs.
+const hangTimeout = time.Minute
+
+// Echo is served to the link.
+type Echo struct{}
+
+// Back returns its argument.
+func (*Echo) Back(args *[]byte, reply *[]byte) error {
+	*reply = *args
+	return nil
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func TestCallAndReset(t *testing.T) {
+	listener := listen(t)
+	server := NewServer(listener)
+	if err := server.Register("Echo", &Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+	l := New(listener.Addr().String())
+	defer l.Close()
+	for range 2 {
+		args, reply := make([]byte, 3*writeChunk), []byte(nil)
+		if err := l.Call(ctx, "Echo.Back", &args, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(len(args), len(reply)); diff != "" {
+			t.Error(diff)
+		}
+		l.Reset()
+	}
+}
+
+// A peer that does not read must not hold up its callers, the one whose call is
+// being written and those behind it, though no context of theirs ends.
+func TestFrozenPeer(t *testing.T) {
+	listener := listen(t)
+	l := New(listener.Addr().String())
+	defer l.Close()
+	failed := make(chan error, 2)
+	for range 2 {
+		go func() {
+			args := make([]byte, 64<<20)
+			failed <- l.Call(context.Background(), "Echo.Back", &args, &[]byte{})
+		}()
+	}
+	for range 2 {
+		select {
+		case err := <-failed:
+			var lost *LostError
+			if !errors.As(err, &lost) {
+				t.Errorf("%v is no LostError", err)
+			}
+		case <-time.After(hangTimeout):
+			t.Fatal("the call hangs")
+		}
+	}
+}
+
+func TestUnreachablePeer(t *testing.T) {
+	listener := listen(t)
+	address := listener.Addr().String()
+	_ = listener.Close()
+	var unreachable *UnreachableError
+	if err := New(address).Call(t.Context(), "Echo.Back", &[]byte{}, &[]byte{}); !errors.As(err, &unreachable) {
+		t.Errorf("%v is no UnreachableError", err)
+	}
+}
