Keep refusals that asked nobody from promising not run

Cause: the soak found two false promises. An entry without a configuration said not run of a key that had run; and an attempt whose first message was lost and had run was told that the attempt did not run. Change: every refusal made before the key was asked for speaks of the attempt; after a lost message a refusal says nothing of the attempt.

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -52,28 +52,38 @@
 func (e *Entry) accept(r *http.Request) (*request, *usher.Refusal) {
 	snapshot := e.Config.Current()
 	if snapshot.Version == 0 {
-		return nil, usher.NewRefusal(usher.RefusalNotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+		refusal := usher.NewRefusal(usher.RefusalNotReady, "no configuration is known yet").WithRetryAfter(time.Second)
+		return nil, unasked(r, refusal)
 	}
 	identity, refusal := authenticate(snapshot, r)
 	if refusal != nil {
-		return nil, refusal
+		return nil, unasked(r, refusal)
 	}
 	accepted := &request{snapshot: snapshot, tokenName: identity.TokenName, started: time.Now()}
 	accepted.ID = e.ids.request()
 	accepted.Workspace = identity.Workspace.Name
+	accepted.Key = usher.IdempotencyKey(r.Header.Get(headerKey))
 	if refusal := accepted.chooseTier(r.Header.Get(headerTier), identity.Workspace); refusal != nil {
 		return accepted, refusal
 	}
 	if refusal := accepted.chooseDeadline(r.Header.Get(headerTimeout), e.options.MaxTimeout); refusal != nil {
 		return accepted, refusal
 	}
-	accepted.Key = usher.IdempotencyKey(r.Header.Get(headerKey))
 	if len(accepted.Key) > maxKeyBytes {
 		return accepted, usher.NewRefusal(usher.RefusalBadRequest, headerKey+" is longer than "+strconv.Itoa(maxKeyBytes)+" bytes")
 	}
 	return accepted, nil
 }
 
+// unasked keeps a refusal, for which nobody was asked about the key, from
+// promising that the key did not run.
+func unasked(r *http.Request, refusal *usher.Refusal) *usher.Refusal {
+	if r.Header.Get(headerKey) == "" {
+		return refusal
+	}
+	return refusal.ForAttempt()
+}
+
 func authenticate(snapshot *config.Snapshot, r *http.Request) (config.Identity, *usher.Refusal) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || token == "" {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -164,7 +164,19 @@
 		r.entry.views.learn(r.slot, reply.Slot)
 	}
 	got, _ := r.entry.judge(reply, stream)
-	return got, true
+	return unsureOf(got, r.lost), true
+}
+
+// unsureOf takes back what a refusal says of this attempt when a message of it
+// was lost before: that one may have run. What a holder says of the key stands,
+// because it covers every message that was sent before.
+func unsureOf(got result, lost bool) result {
+	if !lost || got.refusal == nil || got.refusal.Attempt == "" {
+		return got
+	}
+	changed := *got.refusal
+	changed.Attempt = ""
+	return refused(&changed)
 }
 
 // redirect follows a companion that does not hold the slot, or that holds it
@@ -238,7 +250,7 @@
 			continue
 		case err == nil:
 			got, _ := e.judge(reply, stream)
-			return got
+			return unsureOf(got, lost)
 		case !errors.As(err, &unreachable):
 			lost = true
 		}
