--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -56,8 +56,8 @@
 	return []*Command{
 		newEntryCommand(), newCompanionCommand(), newDumpCommand(),
 		newCheckCommand(), newDiffCommand(), newGetCommand(), newHistoryCommand(),
-		newApplyCommand(), newRollbackCommand(), newPresetCommand(), newLeaveCommand(), newStopCommand(),
-		newRecordCommand(),
+		newApplyCommand(), newRollbackCommand(), newPruneCommand(), newPresetCommand(), newLeaveCommand(), newStopCommand(),
+		newRecordCommand(), newSuspectsCommand(),
 	}
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -28,6 +28,13 @@
 		e.end(w, accepted, nil, asRefusal(err))
 		return
 	}
+	limits, _ := accepted.snapshot.Limits(accepted.Tier)
+	permit, refusal := e.limits.Take(&accepted.RequestHeader, limits, e.Placer.Entries(accepted.Service))
+	if refusal != nil {
+		e.end(w, accepted, nil, refusal)
+		return
+	}
+	defer permit.Release()
 	ctx, cancel := context.WithDeadline(r.Context(), accepted.Deadline)
 	defer cancel()
 	got := e.dispatch(ctx, accepted)
@@ -54,6 +61,9 @@
 	if peer == nil {
 		return result{}, false
 	}
+	if refusal := e.suspected(accepted); refusal != nil {
+		return refused(refusal), true
+	}
 	accepted.Attempt++
 	accepted.endpoint = endpoint
 	e.Placer.Assigned(endpoint, &accepted.RequestHeader)
@@ -86,6 +96,7 @@
 // is not final where another endpoint may still take it.
 func (e *Entry) judge(reply *wire.SubmitReply, stream *incoming) (result, bool) {
 	e.Placer.Observe(reply.Load)
+	e.Suspects.Learn(reply.Suspects)
 	switch reply.State {
 	case wire.StateAnswered:
 		return result{answer: reply.Answer}, true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,8 @@
 	"github.com/rs/zerolog"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/limit"
+	"filbertusher/internal/suspect"
 	"filbertusher/internal/telemetry"
 	"filbertusher/pkg/usher"
 )
@@ -18,6 +20,9 @@
 // Options of an entry.
 type Options struct {
 	Incarnation usher.Incarnation
+	// MaxCrashes is how often a request may be in an endpoint that crashes
+	// before it is refused.
+	MaxCrashes int
 	// MaxBody bounds a caller's body, in bytes.
 	MaxBody int64
 	// MaxTimeout bounds the time that a caller may give a request.
@@ -36,18 +41,21 @@
 	Config   *config.Holder
 	Placer   usher.Placer
 	Recorder usher.Recorder
+	Suspects *suspect.Table
 	Log      zerolog.Logger
 }
 
 // Entry is the state of the process.
 type Entry struct {
 	Dependencies
-	options  Options
-	peers    *peers
-	ids      idSource
-	views    *views
-	metrics  metrics
-	inflight inflight
+	options   Options
+	peers     *peers
+	limits    *limit.Limits
+	ids       idSource
+	views     *views
+	metrics   metrics
+	inflight  inflight
+	explained explanations
 }
 
 type metrics struct {
@@ -67,6 +75,7 @@
 	e := &Entry{
 		Dependencies: dependencies,
 		options:      options,
+		limits:       limit.New(),
 		ids:          newIDSource(options.Incarnation),
 		views:        newViews(),
 		metrics: metrics{
@@ -97,6 +106,8 @@
 		"incarnation":   e.options.Incarnation,
 		"configVersion": e.Config.Current().Version,
 		"peers":         e.peers.state(),
+		"limits":        e.limits.State(),
+		"decisions":     e.explained.state(),
 		"inFlight":      e.inflight.count.Load(),
 		"inFlightIds":   e.inflight.ids(maxReported),
 	}
