--- a/test/record/record_test.go
+++ b/test/record/record_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/klauspost/compress/zstd"
 
 	"filbertusher/internal/archive"
 	"filbertusher/internal/standin/fleet"
@@ -211,6 +212,32 @@
 	if len(report.Unrecorded) != 0 {
 		t.Errorf("unrecorded: %+v", report.Unrecorded)
 	}
+	s.searchSecrets(fleet.TokenOf(fleet.Regenfass), "Which pump fits?", "RP-7")
+}
+
+// searchSecrets looks for texts that must not be in the record.
+func (s *scene) searchSecrets(secrets ...string) {
+	s.Helper()
+	objects, _, err := s.Client.List(s.ctx, "record/")
+	if err != nil || len(objects) == 0 {
+		s.Fatal(len(objects), err)
+	}
+	decoder, err := zstd.NewReader(nil)
+	if err != nil {
+		s.Fatal(err)
+	}
+	defer decoder.Close()
+	for _, object := range objects {
+		text := object.Value
+		if unpacked, err := decoder.DecodeAll(object.Value, nil); err == nil {
+			text = unpacked
+		}
+		for _, secret := range secrets {
+			if strings.Contains(string(text), secret) {
+				s.Errorf("object %s has %q", object.Key, secret)
+			}
+		}
+	}
 }
 
 // TestDeathOfTheEntry holds the moment between answer and stored batch open by
