Start a fleet's callers once its entries know the whole configuration

The refusal is honest; the test's premise, a path that is up, was not met. Ruled out: a retry in the test, which would hide the refusal. Change: NewWhole waits until each entry has the version declared last and has reached its companions. That readyz answers before a companion is reached is open.

--- a/internal/standin/fleet/whole.go
+++ b/internal/standin/fleet/whole.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/operator"
 	"filbertusher/pkg/usher"
 )
 
@@ -109,10 +110,49 @@
 		if err := entry.Ready(ctx); err != nil {
 			return err
 		}
+		if err := w.settled(ctx, entry); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+// settledDelay is the pause between two looks at an entry's state.
+const settledDelay = 10 * time.Millisecond
+
+// settled waits until the entry has the configuration that was declared last
+// and has reached its companions. An entry is ready before that, and refuses
+// honestly until then.
+func (w *Whole) settled(ctx context.Context, entry *Member) error {
+	current, err := operator.New(w.Client, "fleet").Current(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		var dump struct {
+			Entry struct {
+				ConfigVersion usher.Version
+				Peers         map[string]struct{ Reached bool }
+			}
+		}
+		if err := entry.Dump(ctx, &dump); err != nil {
+			return err
+		}
+		settled := dump.Entry.ConfigVersion >= current.Version
+		for _, peer := range dump.Entry.Peers {
+			settled = settled && peer.Reached
+		}
+		if settled {
+			return nil
+		}
+		select {
+		case <-time.After(settledDelay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // beside starts the companion of an endpoint and declares the endpoint.
 func (w *Whole) beside(ctx context.Context, endpoint usher.Endpoint, backend *Member, kind usher.ServiceKind, plan *Plan) error {
 	endpoint.AvailabilityZone = Zone
