Wait for the last declaration and for freed ports when scripts start

Cause: two scripts of test/path failed in a run of everything on a busy machine. kill_companion got 'no endpoint': an entry was ready with an older version that it had from a companion which was behind, as it may for up to 4 s. lost_replies could not bind a proxy's port again: a process that was being started beside it held a copy of the closed listener between fork and exec.

Ruled out: outgoing connections on the port, since each set of proxies has an address of its own; a listener that closes late, since toxiproxy waits for it.

Change: the fleet waits until each entry has the version that was declared last; a proxy that goes up tries its port again while it is in use.

Conclusion: the scripts await what decides them.

--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -6,11 +6,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
@@ -115,7 +118,28 @@
 	if err != nil {
 		return err
 	}
-	return proxy.Start()
+	return listenAgain(proxy)
+}
+
+const (
+	// bindDelay is the pause before a port that is in use is tried again.
+	bindDelay = 10 * time.Millisecond
+	// bindAttempts ends a test whose port really went to somebody else.
+	bindAttempts = 1000
+)
+
+// listenAgain starts a proxy on the port that it had. A process that is being
+// started beside it holds a copy of the closed listener until it runs its own
+// program, and so keeps the port in use for a moment.
+func listenAgain(proxy *toxiproxy.Proxy) error {
+	var err error
+	for range bindAttempts {
+		if err = proxy.Start(); !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+		time.Sleep(bindDelay)
+	}
+	return err
 }
 
 // Move puts the proxy in front of another process. Its address stays.
@@ -126,7 +150,7 @@
 	}
 	proxy.Stop()
 	proxy.Upstream = address
-	return proxy.Start()
+	return listenAgain(proxy)
 }
 
 // Cut cuts every connection of a link; new ones work.
--- a/internal/standin/fleet/whole.go
+++ b/internal/standin/fleet/whole.go
@@ -56,6 +56,8 @@
 	Engines    []*Member
 	Desks      []*Member
 	Companions []*Member
+	// version is the last one that was declared while starting.
+	version usher.Version
 }
 
 // NewWhole starts everything in the plan and waits until the entries are ready.
@@ -106,13 +108,23 @@
 		w.Entries = append(w.Entries, entry)
 	}
 	for _, entry := range w.Entries {
-		if err := entry.Ready(ctx); err != nil {
+		if err := w.awaitVersion(ctx, entry); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// awaitVersion waits until a process is ready with all that was declared. A
+// process that is ready may have an older version from a peer that is behind.
+func (w *Whole) awaitVersion(ctx context.Context, process *Member) error {
+	if err := process.Ready(ctx); err != nil || w.version == 0 {
+		return err
+	}
+	_, err := process.Await(ctx, "configInForce", "version="+strconv.FormatUint(uint64(w.version), 10))
+	return err
+}
+
 // beside starts the companion of an endpoint and declares the endpoint.
 func (w *Whole) beside(ctx context.Context, endpoint usher.Endpoint, backend *Member, kind usher.ServiceKind, plan *Plan) error {
 	endpoint.AvailabilityZone = Zone
@@ -133,7 +145,7 @@
 	if endpoint.Companion, err = plan.via(member.Name, member.Address); err != nil {
 		return err
 	}
-	_, err = w.Put(ctx, config.KindEndpoint, string(endpoint.Name), endpoint)
+	w.version, err = w.Put(ctx, config.KindEndpoint, string(endpoint.Name), endpoint)
 	return err
 }
 
