Follow a line of the platform's list once, and send deltas over gaps

TestScaleShortForm counted watches of processes that had started before their peers. Ruled out: remembering the address in each process. Change: the declaration notes the address that was followed; apply keeps departures; steps that passed over a version serve it; the second tree carries versions and the change only when the first is late; scale waits for rest.

--- a/internal/command/inspect.go
+++ b/internal/command/inspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -43,6 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
+	keepAnnounced(p.current, set.Objects)
 	p.put = operator.Differs(p.current, set.Objects)
 	if prune {
 		p.deleted = undeclared(p.current, set)
@@ -50,6 +52,25 @@
 	return p, p.check(set)
 }
 
+// keepAnnounced keeps announced departures, which files don't know of: a change
+// of something else must not call them off. A file can only say leaving: true.
+func keepAnnounced(current *config.Snapshot, objects []usher.Object) {
+	for i := range objects {
+		kind, name, _ := config.SplitKey(objects[i].Key)
+		accepted, ok := current.Endpoints[usher.EndpointName(name)]
+		if kind != config.KindEndpoint || !ok {
+			continue
+		}
+		var endpoint usher.Endpoint
+		if json.Unmarshal(objects[i].Value, &endpoint) != nil {
+			continue
+		}
+		endpoint.Leaving = endpoint.Leaving || accepted.Leaving
+		endpoint.HintedFor = accepted.HintedFor
+		objects[i].Value, _ = json.Marshal(endpoint)
+	}
+}
+
 // undeclared lists what is in force and not in the files, except for the
 // choice of the preset, which files don't declare.
 func undeclared(current *config.Snapshot, set *declare.Set) []usher.ObjectKey {
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -111,9 +111,9 @@
 	// differing maps each bucket that has to be read to its digest.
 	differing map[bucketIndex]usher.Digest
 
-	mu        sync.Mutex
-	changed   []usher.Object
-	present   map[usher.ObjectKey]bool
+	mu      sync.Mutex
+	changed []usher.Object
+	present map[usher.ObjectKey]bool
 }
 
 // readPage finds the buckets of a page that differ.
--- a/internal/member/hints.go
+++ b/internal/member/hints.go
@@ -13,17 +13,13 @@
 	"filbertusher/pkg/usher"
 )
 
-const (
-	// hintInterval is about the time between two reads of the platform's list.
-	// The list lags by more than this, so reading it more often gains nothing.
-	hintInterval = 10 * time.Second
-	// maxAnnounced bounds the addresses whose departure is remembered.
-	maxAnnounced = 4096
-)
+// hintInterval is about the time between two reads of the platform's list. The
+// list lags by more than this, so reading it more often gains nothing.
+const hintInterval = 10 * time.Second
 
 // Announcer announces that endpoints leave.
 type Announcer interface {
-	AnnounceLeaving(ctx context.Context, endpoints []usher.EndpointName, leaving bool, note string) (*config.Head, error)
+	FollowHint(ctx context.Context, endpoints []usher.EndpointName, note string) (*config.Head, error)
 }
 
 // Hints turns what the platform's list says into announcements. An instance
@@ -38,14 +34,11 @@
 	// elected says whether this process has to read the list.
 	elected func() bool
 	log     zerolog.Logger
-	// announced holds the addresses that were announced before. An operator who
-	// calls a departure off is not overruled by the same line of the list.
-	announced map[string]bool
 }
 
 // NewHints returns hints; Run has to be called.
 func NewHints(instances usher.Instances, announcer Announcer, holder *config.Holder, elected func() bool, log zerolog.Logger) *Hints {
-	return &Hints{instances: instances, announcer: announcer, holder: holder, elected: elected, log: log, announced: make(map[string]bool)}
+	return &Hints{instances: instances, announcer: announcer, holder: holder, elected: elected, log: log}
 }
 
 // Run reads the list at intervals until ctx ends.
@@ -74,7 +67,7 @@
 	if len(leaving) == 0 {
 		return
 	}
-	head, err := h.announcer.AnnounceLeaving(ctx, leaving, true, "the platform's list says so")
+	head, err := h.announcer.FollowHint(ctx, leaving, "the platform's list says so")
 	var conflict *operator.ConflictError
 	switch {
 	case errors.As(err, &conflict):
@@ -86,31 +79,21 @@
 	}
 }
 
-// leaving returns the endpoints that the list shows as leaving for the first
-// time and that nobody has announced.
+// leaving returns the endpoints that the list shows as leaving and that nobody
+// has announced. The declaration says for which address the list was followed
+// before, so that an operator who calls the departure off is not overruled.
 func (h *Hints) leaving(instances []usher.Instance) []usher.EndpointName {
 	listed := make(map[string]bool)
 	for _, instance := range instances {
-		if instance.Leaving && !h.announced[instance.Address] {
+		if instance.Leaving {
 			listed[instance.Address] = true
 		}
 	}
 	var names []usher.EndpointName
 	for name, endpoint := range h.holder.Current().Endpoints {
-		if !listed[endpoint.Companion] {
-			continue
-		}
-		h.remember(endpoint.Companion)
-		if !endpoint.Leaving {
+		if listed[endpoint.Companion] && !endpoint.Leaving && endpoint.HintedFor != endpoint.Companion {
 			names = append(names, name)
 		}
 	}
 	return names
 }
-
-func (h *Hints) remember(address string) {
-	if len(h.announced) >= maxAnnounced {
-		h.announced = make(map[string]bool)
-	}
-	h.announced[address] = true
-}
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -247,6 +247,19 @@
 // AnnounceLeaving marks endpoints as leaving, or as staying again. All of them
 // are marked by one change.
 func (o *Operator) AnnounceLeaving(ctx context.Context, endpoints []usher.EndpointName, leaving bool, note string) (*config.Head, error) {
+	return o.markEndpoints(ctx, endpoints, note, func(endpoint *usher.Endpoint) { endpoint.Leaving = leaving })
+}
+
+// FollowHint marks endpoints as leaving because the platform's list shows them
+// so, and notes for which address.
+func (o *Operator) FollowHint(ctx context.Context, endpoints []usher.EndpointName, note string) (*config.Head, error) {
+	return o.markEndpoints(ctx, endpoints, note, func(endpoint *usher.Endpoint) {
+		endpoint.Leaving = true
+		endpoint.HintedFor = endpoint.Companion
+	})
+}
+
+func (o *Operator) markEndpoints(ctx context.Context, endpoints []usher.EndpointName, note string, mark func(*usher.Endpoint)) (*config.Head, error) {
 	current, err := o.Current(ctx)
 	if err != nil {
 		return nil, err
@@ -258,7 +271,7 @@
 			return nil, &NotDeclaredError{Kind: config.KindEndpoint, Name: string(name)}
 		}
 		marked := *endpoint
-		marked.Leaving = leaving
+		mark(&marked)
 		value, err := json.Marshal(marked)
 		if err != nil {
 			return nil, err
--- a/internal/spread/changes.go
+++ b/internal/spread/changes.go
@@ -1,6 +1,7 @@
 package spread
 
 import (
+	"slices"
 	"sync"
 
 	"filbertusher/internal/config"
@@ -46,12 +47,17 @@
 }
 
 // since returns the keys that changed after a version, and false when that is
-// not known. The version has to be one that this process itself has held.
-func (c *changes) since(version usher.Version, change config.ChangeID) ([]usher.ObjectKey, bool) {
+// not known. A peer may hold a version that this process has passed over: then
+// the step that passed over it lists its changes and some before it, which does
+// no harm, because the values sent are those of now. lineage shows that such a
+// version is one that the current one was built on.
+func (c *changes) since(version usher.Version, change config.ChangeID, lineage []config.ChangeID) ([]usher.ObjectKey, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i, one := range c.steps {
-		if one.fromVersion == version && one.fromChange == change {
+		held := one.fromVersion == version && one.fromChange == change
+		passed := one.fromVersion < version && version < one.toVersion && slices.Contains(lineage, change)
+		if held || passed {
 			return distinct(c.steps[i:]), true
 		}
 	}
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -23,6 +23,9 @@
 	suspension = 5 * time.Second
 	// acrossInterval is the pause between two questions across the fleet.
 	acrossInterval = 5 * time.Second
+	// probeDelay is how long a process that knows of a version waits for it to
+	// come from the first tree.
+	probeDelay = 300 * time.Millisecond
 	// burstInterval is the least time between two versions that a process takes
 	// in from one tree. It bounds the processor time that a burst costs.
 	burstInterval = 50 * time.Millisecond
@@ -42,7 +45,7 @@
 func (s *Spread) follow(ctx context.Context, order treeOrder) error {
 	for ctx.Err() == nil {
 		before := s.holder.Current().Version
-		if !s.pollFirst(ctx, s.chain(order)) {
+		if !s.pollFirst(ctx, order, s.chain(order)) {
 			s.watchOnce(ctx)
 		}
 		if s.holder.Current().Version > before {
@@ -54,12 +57,17 @@
 }
 
 // pollFirst waits at the first peer that answers and says whether one did.
-func (s *Spread) pollFirst(ctx context.Context, addresses []string) bool {
+func (s *Spread) pollFirst(ctx context.Context, order treeOrder, addresses []string) bool {
+	wait := s.poll
+	if order != contentTree {
+		wait = s.probe
+	}
+
 	for _, address := range addresses {
 		if s.isSuspended(address) {
 			continue
 		}
-		err := s.poll(ctx, address, pollWait)
+		err := wait(ctx, address, pollWait)
 		if err == nil || ctx.Err() != nil {
 			return true
 		}
@@ -100,6 +108,41 @@
 	}
 }
 
+// probe waits until a peer has a newer version. The change itself is expected
+// from the peer in the first tree; it is fetched here only when that one is
+// late, so that it travels to each process once and not once in each tree.
+func (s *Spread) probe(ctx context.Context, address string, wait time.Duration) error {
+	s.metrics.polls(1)
+	args := &wire.SnapshotArgs{Caller: s.caller(), Wait: wait, Probe: true}
+	reply := &wire.SnapshotReply{}
+	if err := s.call(ctx, address, wait+pollGrace, wire.MethodSnapshot, args, reply); err != nil {
+		return err
+	}
+	if s.reaches(ctx, reply.ConfigVersion) {
+		return nil
+	}
+	return s.poll(ctx, address, 0)
+}
+
+// reaches waits for a moment until the process has a version in force.
+func (s *Spread) reaches(ctx context.Context, version usher.Version) bool {
+	late := time.NewTimer(probeDelay)
+	defer late.Stop()
+	for {
+		changed := s.holder.Changed()
+		if s.holder.Current().Version >= version {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-late.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // poll asks one peer for a newer version and takes it in.
 func (s *Spread) poll(ctx context.Context, address string, wait time.Duration) error {
 	s.metrics.polls(1)
--- a/internal/spread/rpc.go
+++ b/internal/spread/rpc.go
@@ -25,10 +25,10 @@
 	s.holder.Hear(args.Peer, args.ConfigVersion)
 	current := s.awaitNewer(args.ConfigVersion, min(args.Wait, maxWait))
 	reply.ConfigVersion = current.Version
-	if current.Version <= args.ConfigVersion {
+	if args.Probe || current.Version <= args.ConfigVersion {
 		return nil
 	}
-	keys, known := s.changes.since(args.ConfigVersion, config.ChangeID(args.Change))
+	keys, known := s.changes.since(args.ConfigVersion, config.ChangeID(args.Change), current.Head.Lineage)
 	if known {
 		s.metrics.deltas(1)
 		reply.Objects, reply.Deleted = collect(current, keys)
--- a/internal/spread/tree.go
+++ b/internal/spread/tree.go
@@ -20,6 +20,9 @@
 const (
 	// treeCount is how many trees a version travels in.
 	treeCount = 2
+	// contentTree is the tree in which changes themselves travel. The other one
+	// carries versions, and changes only when the first one is late.
+	contentTree = treeOrder(0)
 	// fanOut is how many companions wait at one in each tree. A larger one makes
 	// the trees flatter and each message costlier for its sender.
 	fanOut = 4
--- a/internal/standin/scale/scale.go
+++ b/internal/standin/scale/scale.go
@@ -224,11 +224,32 @@
 	return r.fleet.Entry("entry-"+strconv.Itoa(i), r.fleet.Store.Address, zoneName(i%r.plan.Zones), quiet...)
 }
 
-// settleTime lets the connections and watches of a started fleet come to rest.
-const settleTime = 5 * time.Second
+const (
+	// settleTime lets the connections of a started fleet come to rest.
+	settleTime = 5 * time.Second
+	// settleLimit bounds the wait for the watches of processes that took over
+	// from peers which had not started yet.
+	settleLimit = time.Minute
+	// treesPerZone is how many processes of a zone watch the store at rest.
+	treesPerZone = 2
+)
 
-func (r *runner) idle(ctx context.Context, result *Result) error {
+// settle waits until no more processes watch the store than the trees need.
+func (r *runner) settle(ctx context.Context) error {
 	time.Sleep(settleTime)
+	for began := time.Now(); time.Since(began) < settleLimit; time.Sleep(time.Second) {
+		counts, err := r.calls(ctx)
+		if err != nil || counts.Waiting <= int64(r.plan.Zones*treesPerZone) {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *runner) idle(ctx context.Context, result *Result) error {
+	if err := r.settle(ctx); err != nil {
+		return err
+	}
 	meter, err := r.meter(ctx)
 	if err != nil {
 		return err
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -208,6 +208,8 @@
 	// Change is the id of the change that the caller's version was made by.
 	Change string
 	Wait   time.Duration
+	// Probe asks for the peer's version alone, in the status of the reply.
+	Probe bool
 }
 
 // SnapshotReply carries what has changed, or nothing but the status. Objects
--- a/pkg/usher/kinds.go
+++ b/pkg/usher/kinds.go
@@ -95,6 +95,10 @@
 	Generation string `json:"generation,omitempty"`
 	// Leaving endpoints get no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// HintedFor is the companion's address for which the platform's list was
+	// followed. It is kept when a departure is called off, so that the same line
+	// of the list is not followed twice.
+	HintedFor string `json:"hintedFor,omitempty"`
 	// Models, Adapters and Role are the desired state of the engine.
 	Models   []ModelName `json:"models,omitempty"`
 	Adapters []string    `json:"adapters,omitempty"`
