--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -11,9 +11,6 @@
 	// quickOffers is how many endpoints are asked whether they have room at
 	// once before the request waits at one.
 	quickOffers = 2
-	// freshReport is how old a report may be that spares an endpoint the
-	// question whether it would evict less urgent work.
-	freshReport = 200 * time.Millisecond
 	// reachRounds is how often all endpoints are tried while none of them can
 	// be reached, reachDelay apart: a process that has just started or got a
 	// new configuration connects at the same time as it serves.
--- a/internal/placement/queries.go
+++ b/internal/placement/queries.go
@@ -31,17 +31,6 @@
 	return state
 }
 
-// KeepsLess says whether an endpoint may keep waiting requests that are less
-// urgent than rank: its last report said so, or there is none that is fresh.
-func (p *Placer) KeepsLess(endpoint usher.EndpointName, rank usher.Rank, fresh time.Duration) bool {
-	v, ok := p.current().byName[endpoint]
-	if !ok {
-		return false
-	}
-	report := v.report.Load()
-	return report == nil || p.now().Sub(report.Taken) > fresh || report.LowestKept > rank
-}
-
 // Entries estimates how many live entries serve callers, from what the
 // companions of a service hear. Where each entry works with a subset of the
 // endpoints, a companion hears from the same share of the entries.
