--- a/internal/companion/drain_test.go
+++ b/internal/companion/drain_test.go
@@ -13,6 +13,7 @@
 	"filbertusher/internal/config"
 	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
+	"filbertusher/internal/suspect"
 	"filbertusher/internal/waiting"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
@@ -48,10 +49,10 @@
 func newSetup(t *testing.T) *setup {
 	t.Helper()
 	s := &setup{holder: config.NewHolder(), backend: &blockingBackend{began: make(chan struct{}, 9), release: make(chan struct{})}}
-	s.Companion = companion.New(companion.Options{Endpoint: "e", Incarnation: "i"}, companion.Dependencies{
+	s.Companion = companion.New(companion.Options{Endpoint: "e", Incarnation: "i", MaxCrashes: 1}, companion.Dependencies{
 		// The book holds no slot, so it needs neither a store nor peers.
-		Journal: journal.NewBook(journal.Options{}, nil, nil),
-		Config:  s.holder, Backend: s.backend, Admission: waiting.New("e", waiting.Options{Running: 1, Waiting: 9}),
+		Journal: journal.NewBook(journal.Options{}, nil, nil), Suspects: suspect.NewTable(),
+		Config: s.holder, Backend: s.backend, Admission: waiting.New("e", waiting.Options{Running: 1, Waiting: 9}),
 		Ledger: ledger.New(time.Minute), Fence: func() usher.Fence { return 1 }, Keeper: openKeeper{}, Log: zerolog.Nop(),
 	})
 	s.rpc = companion.NewRPC(s.Companion)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"filbertusher/internal/config"
 	"filbertusher/internal/limit"
+	"filbertusher/internal/suspect"
 	"filbertusher/internal/telemetry"
 	"filbertusher/pkg/usher"
 )
@@ -19,6 +21,9 @@
 // Options of an entry.
 type Options struct {
 	Incarnation usher.Incarnation
+	// MaxCrashes is how often a request may be in an endpoint that crashes
+	// before it is refused.
+	MaxCrashes int
 	// MaxBody bounds a caller's body, in bytes.
 	MaxBody int64
 	// MaxTimeout bounds the time that a caller may give a request.
@@ -28,6 +33,9 @@
 	// LateDecision reserves room at a second endpoint for a request that has
 	// to wait.
 	LateDecision bool
+	// ReservationRate bounds the reservations a second; a request beyond it
+	// waits at one endpoint only.
+	ReservationRate int
 	// Peer is the address of the entry's own peer listener.
 	Peer string
 }
@@ -37,20 +45,23 @@
 	Config   *config.Holder
 	Placer   usher.Placer
 	Recorder usher.Recorder
+	Suspects *suspect.Table
 	Log      zerolog.Logger
 }
 
 // Entry is the state of the process.
 type Entry struct {
 	Dependencies
-	options   Options
-	peers     *peers
-	limits    *limit.Limits
-	ids       idSource
-	views     *views
-	metrics   metrics
-	inflight  inflight
-	explained explanations
+	options Options
+	peers   *peers
+	limits  *limit.Limits
+	// reservations is the budget of reservations, which are control messages.
+	reservations *rate.Limiter
+	ids          idSource
+	views        *views
+	metrics      metrics
+	inflight     inflight
+	explained    explanations
 }
 
 type metrics struct {
@@ -71,6 +82,7 @@
 		Dependencies: dependencies,
 		options:      options,
 		limits:       limit.New(),
+		reservations: rate.NewLimiter(rate.Limit(options.ReservationRate), options.ReservationRate),
 		ids:          newIDSource(options.Incarnation),
 		views:        newViews(),
 		metrics: metrics{
