--- a/internal/standin/fleet/whole.go
+++ b/internal/standin/fleet/whole.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"filbertusher/internal/config"
-	"filbertusher/internal/operator"
 	"filbertusher/pkg/usher"
 )
 
@@ -57,6 +56,8 @@
 	Engines    []*Member
 	Desks      []*Member
 	Companions []*Member
+	// version is the last one that was declared while starting.
+	version usher.Version
 }
 
 // NewWhole starts everything in the plan and waits until the entries are ready.
@@ -107,7 +108,7 @@
 		w.Entries = append(w.Entries, entry)
 	}
 	for _, entry := range w.Entries {
-		if err := entry.Ready(ctx); err != nil {
+		if err := w.awaitVersion(ctx, entry); err != nil {
 			return err
 		}
 		if err := w.settled(ctx, entry); err != nil {
@@ -117,28 +118,32 @@
 	return nil
 }
 
+// awaitVersion waits until a process is ready with all that was declared. A
+// process that is ready may have an older version from a peer that is behind.
+func (w *Whole) awaitVersion(ctx context.Context, process *Member) error {
+	if err := process.Ready(ctx); err != nil || w.version == 0 {
+		return err
+	}
+	_, err := process.Await(ctx, "configInForce", "version="+strconv.FormatUint(uint64(w.version), 10))
+	return err
+}
+
 // settledDelay is the pause between two looks at an entry's state.
 const settledDelay = 10 * time.Millisecond
 
-// settled waits until the entry has the configuration that was declared last
-// and has reached its companions. An entry is ready before that, and refuses
-// honestly until then.
+// settled waits until the entry has reached its companions. It is ready before
+// that, and refuses honestly until then.
 func (w *Whole) settled(ctx context.Context, entry *Member) error {
-	current, err := operator.New(w.Client, "fleet").Current(ctx)
-	if err != nil {
-		return err
-	}
 	for {
 		var dump struct {
 			Entry struct {
-				ConfigVersion usher.Version
-				Peers         map[string]struct{ Reached bool }
+				Peers map[string]struct{ Reached bool }
 			}
 		}
 		if err := entry.Dump(ctx, &dump); err != nil {
 			return err
 		}
-		settled := dump.Entry.ConfigVersion >= current.Version
+		settled := true
 		for _, peer := range dump.Entry.Peers {
 			settled = settled && peer.Reached
 		}
@@ -173,7 +178,7 @@
 	if endpoint.Companion, err = plan.via(member.Name, member.Address); err != nil {
 		return err
 	}
-	_, err = w.Put(ctx, config.KindEndpoint, string(endpoint.Name), endpoint)
+	w.version, err = w.Put(ctx, config.KindEndpoint, string(endpoint.Name), endpoint)
 	return err
 }
 
