--- a/internal/standin/fleet/whole.go
+++ b/internal/standin/fleet/whole.go
@@ -111,6 +111,9 @@
 		if err := w.awaitVersion(ctx, entry); err != nil {
 			return err
 		}
+		if err := w.settled(ctx, entry); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -125,6 +128,36 @@
 	return err
 }
 
+// settledDelay is the pause between two looks at an entry's state.
+const settledDelay = 10 * time.Millisecond
+
+// settled waits until the entry has reached its companions. It is ready before
+// that, and refuses honestly until then.
+func (w *Whole) settled(ctx context.Context, entry *Member) error {
+	for {
+		var dump struct {
+			Entry struct {
+				Peers map[string]struct{ Reached bool }
+			}
+		}
+		if err := entry.Dump(ctx, &dump); err != nil {
+			return err
+		}
+		settled := true
+		for _, peer := range dump.Entry.Peers {
+			settled = settled && peer.Reached
+		}
+		if settled {
+			return nil
+		}
+		select {
+		case <-time.After(settledDelay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // beside starts the companion of an endpoint and declares the endpoint.
 func (w *Whole) beside(ctx context.Context, endpoint usher.Endpoint, backend *Member, kind usher.ServiceKind, plan *Plan) error {
 	endpoint.AvailabilityZone = Zone
