Begin again when a version is pruned while it is read

Cause: TestPruneBesideWriters failed once on a busy machine with 'object config/page/... does not exist'. A reader took the head, was overtaken by more changes than are kept, and found its pages pruned.

Ruled out: a part that the pruner should have kept; the version that the reader was at had been replaced ten times and was rightly removed.

Change: operators read through config.LoadInForce, which begins again with the head of that moment when a part is missing and the head has moved. Processes already did so, because their watch loop reads again after a failure.

Measured: TestReaderOvertakenByPrune brings the case about without timing; it failed before the change and passes after it.

Conclusion: mended.

--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -89,6 +89,35 @@
 	return next, next.Verify()
 }
 
+// LoadInForce returns the snapshot that the head names now, and the store's
+// version of the head. It reads only the parts in which from differs from it.
+//
+// A reader can be so slow that its version is replaced and its parts are pruned
+// while it reads them:
+//
+//	reader: head 7 -> page A ...                    page B is missing
+//	others:            versions 8 to 17, prune removes 7
+//
+// It then begins again with the head of that moment. A part that is missing
+// while its head stands is an error.
+func LoadInForce(ctx context.Context, store usher.Store, from *Snapshot) (*Snapshot, usher.Version, error) {
+	for {
+		head, version, err := LoadHead(ctx, store)
+		if err != nil {
+			return nil, 0, err
+		}
+		next, err := Load(ctx, store, head, from)
+		var missing *usher.NotFoundError
+		if !errors.As(err, &missing) {
+			return next, version, err
+		}
+		now, _, errHead := LoadHead(ctx, store)
+		if errHead != nil || now.ID == head.ID {
+			return nil, 0, err
+		}
+	}
+}
+
 // Verify says whether the objects are those that the head was accepted with.
 func (s *Snapshot) Verify() error {
 	for number, digest := range s.tree.pages {
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -73,15 +73,11 @@
 // attempt tries the change on top of what is in force now. again is true when
 // another change was accepted in between.
 func (o *Operator) attempt(ctx context.Context, change *Change, base *config.Snapshot, current **config.Snapshot) (accepted *config.Head, again bool, err error) {
-	head, version, err := config.LoadHead(ctx, o.store)
+	inForce, version, err := config.LoadInForce(ctx, o.store, *current)
 	if err != nil {
 		return nil, false, err
 	}
-	if head.ID != (*current).Head.ID {
-		if *current, err = config.Load(ctx, o.store, head, *current); err != nil {
-			return nil, false, err
-		}
-	}
+	*current = inForce
 	if err := o.conflict(ctx, change, base, *current); err != nil {
 		return nil, false, err
 	}
--- a/internal/operator/prune_test.go
+++ b/internal/operator/prune_test.go
@@ -1,8 +1,10 @@
 package operator_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 
@@ -107,3 +109,40 @@
 		t.Error(diff)
 	}
 }
+
+// overtaken runs interrupt before the first read of a page.
+type overtaken struct {
+	usher.Store
+	once      sync.Once
+	interrupt func()
+}
+
+func (o *overtaken) Get(ctx context.Context, key usher.ObjectKey) (usher.Object, error) {
+	if strings.HasPrefix(string(key), string(config.Prefix)+"page/") {
+		o.once.Do(o.interrupt)
+	}
+	return o.Store.Get(ctx, key)
+}
+
+// A reader whose version is replaced and pruned while it reads begins again.
+func TestReaderOvertakenByPrune(t *testing.T) {
+	b := newBench(t)
+	writer := operator.New(b.client, "ann")
+	put(t, writer, tier("x", 0))
+	slow := &overtaken{Store: b.client}
+	slow.interrupt = func() {
+		for n := range 3 {
+			put(t, writer, tier("x", 1+n))
+		}
+		if _, err := config.Prune(t.Context(), b.client, 1); err != nil {
+			t.Error(err)
+		}
+	}
+	snapshot, err := operator.New(slow, "").Current(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(usher.Version(4), snapshot.Version); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/operator/queries.go
+++ b/internal/operator/queries.go
@@ -15,16 +15,7 @@
 
 // Current returns the configuration that is accepted.
 func (o *Operator) Current(ctx context.Context) (*config.Snapshot, error) {
-	head, _, err := config.LoadHead(ctx, o.store)
-	if err != nil {
-		return nil, err
-	}
-	return o.load(ctx, head)
-}
-
-// load reads what differs between the last known configuration and a head.
-func (o *Operator) load(ctx context.Context, head *config.Head) (*config.Snapshot, error) {
-	snapshot, err := config.Load(ctx, o.store, head, o.known.Load())
+	snapshot, _, err := config.LoadInForce(ctx, o.store, o.known.Load())
 	if err == nil {
 		o.known.Store(snapshot)
 	}
@@ -33,16 +24,15 @@
 
 // At returns the configuration as it was at a version.
 func (o *Operator) At(ctx context.Context, version usher.Version) (*config.Snapshot, error) {
-	head, _, err := config.LoadHead(ctx, o.store)
+	current, err := o.Current(ctx)
+	if err != nil || current.Version == version {
+		return current, err
+	}
+	past, err := config.LoadPast(ctx, o.store, version)
 	if err != nil {
 		return nil, err
 	}
-	if head.Version != version {
-		if head, err = config.LoadPast(ctx, o.store, version); err != nil {
-			return nil, err
-		}
-	}
-	return o.load(ctx, head)
+	return config.Load(ctx, o.store, past, current)
 }
 
 // History returns the newest accepted changes, the newest first.
