Let the limit of an idle engine rise by a quarter, and refuse nobody for a low one

The limit begins at 8 and rose by one each 100 ms, so 500 streams at an engine would have taken 50 s to be let in, and the wait worked out from the low limit passed the deadline of 60 s. The engine could run all of them.

Ruled out: the estimate of the requests' own time, which was right; a pace that was passed, since the limit was never cut.

Change: far below the target pace the limit rises by a quarter of itself. The wait is held against a deadline only while the limit is at its bound or was cut in the last 10 s, so that it is known for what the engine can do.

--- a/internal/waiting/pace.go
+++ b/internal/waiting/pace.go
@@ -13,12 +13,19 @@
 // target pace.
 //
 // Tokens are counted by atomic adds and taken in once in a while, so a token
-// costs no lock. The limit rises by one while requests wait for it and the
-// pace is kept, and falls by an eighth when the pace is passed, as congestion
-// windows do. Where the engine is so slow that the target can't be kept even by
-// a request that is alone in it, fewer requests would only lose throughput, so
-// half as much again as the pace of one alone is tolerated. It has no model of the engine, so an engine that slows down or
-// recovers without warning is followed.
+// costs no lock. The limit rises while requests wait for it and the pace is
+// kept, and falls by an eighth when the pace is passed, as congestion windows
+// do. It rises by one near the target and by a quarter far below it, so that a
+// burst at an idle engine is not held back for as long as the limit takes to
+// climb in single steps:
+//
+//	limit 8, 500 requests wait, pace 20 ms of 25:   9, 10, 11, ... 50 s to 500
+//	limit 8, 500 requests wait, pace 5 ms of 25:    10, 12, 15, ... 2 s to 500
+//
+// Where the engine is so slow that the target can't be kept even by a request
+// that is alone in it, fewer requests would only lose throughput, so half as
+// much again as the pace of one alone is tolerated. It has no model of the
+// engine, so an engine that slows down or recovers without warning is followed.
 type pace struct {
 	most   int
 	target time.Duration
@@ -37,6 +44,8 @@
 	line    batchLine
 	learned time.Time
 	changed time.Time
+	// cut is when the limit was lowered last.
+	cut time.Time
 	// answerShare is how much of the bound on its length an answer takes.
 	answerShare  float64
 	knownAnswers bool
@@ -50,6 +59,12 @@
 	learnInterval = 50 * time.Millisecond
 	// changeInterval is how often the limit may change.
 	changeInterval = 100 * time.Millisecond
+	// roomBelow is the share of the target, in eighths, below which the pace
+	// leaves so much room that the limit rises by a share of itself.
+	roomBelow = 6
+	// cutMemory is how long after a cut the limit is taken for what the engine
+	// can do, and not for how far it has risen yet.
+	cutMemory = 10 * time.Second
 	// memory is the time constant of the learned pace.
 	memory = 400 * time.Millisecond
 	// firstLimit is the limit before anything was learned.
@@ -162,14 +177,27 @@
 	switch {
 	case p.gap > max(p.target, p.line.alone()*tolerableNumerator/tolerableDenominator):
 		p.current = max(1, p.current-max(1, p.current/8))
+		p.cut = now
 	case p.queued > 0:
 		p.current = max(1, p.current-1)
+		p.cut = now
+	case saturated && p.gap < p.target*roomBelow/8:
+		p.current = min(p.most, p.current+max(1, p.current/4))
 	case saturated:
 		p.current = min(p.most, p.current+1)
 	}
 	p.queued = 0
 }
 
+// bounded says whether the limit is what the engine can do. A limit that was
+// not cut for long may still rise, and a wait that is worked out from it would
+// refuse requests that can be served.
+func (p *pace) bounded(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current == p.most || now.Sub(p.cut) < cutMemory
+}
+
 func (p *pace) limit() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/waiting/room.go
+++ b/internal/waiting/room.go
@@ -168,7 +168,7 @@
 	now := r.now()
 	r.pace.learn(now, r.running, r.saturated())
 	t := r.newTicket(header, now)
-	if r.pace.known() && now.Add(r.waitAbove(header.Rank)).After(t.latest) {
+	if r.pace.known() && r.pace.bounded(now) && now.Add(r.waitAbove(header.Rank)).After(t.latest) {
 		r.counts.Hopeless++
 		return nil, hopelessRefusal()
 	}
