Tell a request that was refused for its fencing number as not run

Cause: an engine that checks fencing numbers answers 409 to a companion that was replaced. The companion passed that on to the caller as the answer.

Ruled out: telling it by the body, which is the engine's own wording.

Change: 409 of a model engine is a typed failure that was not run, so the entry offers the request elsewhere. Plain services may answer 409 themselves and are left alone.

Measured: TestFencedRequestDidNotRun, with the engine stand-in checking, fails without the change and passes with it. No run with two companion processes at an engine that checks was made.

--- /dev/null
+++ b/internal/endpoint/fence_test.go
@@ -0,0 +1,42 @@
+package endpoint_test
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"filbertusher/internal/endpoint"
+	"filbertusher/internal/standin/engine"
+	"filbertusher/pkg/usher"
+)
+
+// An engine that checks fencing numbers refuses an incarnation that was
+// replaced. The request did not run, and the refusal is no answer for a caller.
+func TestFencedRequestDidNotRun(t *testing.T) {
+	simulated := engine.New(engine.Options{
+		Speed:          engine.Speed{PrefillChunk: 512, MaxBatch: 4},
+		FencingChecked: true, Models: []string{"m"},
+	}, func() {})
+	go simulated.Run(t.Context().Done())
+	server := httptest.NewServer(simulated.Handler())
+	defer server.Close()
+	model := endpoint.NewModel(strings.TrimPrefix(server.URL, "http://"), server.Client())
+	call := func(stream string) *usher.Call {
+		body := `{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"x"}]` + stream + `}`
+		return &usher.Call{Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte(body)}
+	}
+	if _, err := model.Call(t.Context(), "newer", 2, call("")); err != nil {
+		t.Fatal(err)
+	}
+	_, errWhole := model.Call(t.Context(), "whole", 1, call(""))
+	_, _, errStream := model.Stream(t.Context(), "stream", 1, call(`,"stream":true`))
+	for what, err := range map[string]error{"whole": errWhole, "stream": errStream} {
+		var backend *usher.BackendError
+		var fenced *endpoint.FencedError
+		if !errors.As(err, &backend) || backend.Reached || !errors.As(err, &fenced) {
+			t.Errorf("%s: got %v, want a fenced request that did not run", what, err)
+		}
+	}
+}
--- a/internal/endpoint/model.go
+++ b/internal/endpoint/model.go
@@ -36,7 +36,7 @@
 // the connection breaks before the whole answer is here, the engine may have
 // the request: it is asked for the events, of which the answer is put together.
 func (m *Model) Call(ctx context.Context, id usher.RequestID, fence usher.Fence, call *usher.Call) (*usher.Answer, error) {
-	answer, err := m.client.Call(ctx, id, fence, call)
+	answer, err := unlessFenced(m.client.Call(ctx, id, fence, call))
 	var broken *usher.BackendError
 	if errors.As(err, &broken) && broken.Reached {
 		answer, err = m.recoverAnswer(ctx, id, err)
@@ -76,7 +76,7 @@
 		return nil, nil, err
 	}
 	if !isEventStream(response) {
-		answer, err := readAnswer(response)
+		answer, err := unlessFenced(readAnswer(response))
 		return nil, answer, err
 	}
 	return newEventStream(response.Body), nil, nil
