--- a/internal/standin/fleet/build.go
+++ b/internal/standin/fleet/build.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -47,3 +48,16 @@
 	}
 	return folder, nil
 }
+
+// RunTests builds the programs, runs the tests of a package with them, and
+// returns the exit status. It is for TestMain.
+func RunTests(into *Binaries, run func() int) int {
+	binaries, folder, err := Build()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	*into = binaries
+	return run()
+}
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -35,17 +35,7 @@
 
 var binaries fleet.Binaries
 
-func TestMain(m *testing.M) {
-	built, folder, err := fleet.Build()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binaries = built
-	status := m.Run()
-	_ = os.RemoveAll(folder)
-	os.Exit(status)
-}
+func TestMain(m *testing.M) { os.Exit(fleet.RunTests(&binaries, m.Run)) }
 
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
--- a/test/outcome/outcome_test.go
+++ b/test/outcome/outcome_test.go
@@ -30,17 +30,7 @@
 
 var binaries fleet.Binaries
 
-func TestMain(m *testing.M) {
-	built, folder, err := fleet.Build()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binaries = built
-	status := m.Run()
-	_ = os.RemoveAll(folder)
-	os.Exit(status)
-}
+func TestMain(m *testing.M) { os.Exit(fleet.RunTests(&binaries, m.Run)) }
 
 const (
 	// testTimeout ends a test that hangs; no verdict depends on it otherwise.
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -22,17 +21,7 @@
 
 var binaries fleet.Binaries
 
-func TestMain(m *testing.M) {
-	built, folder, err := fleet.Build()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binaries = built
-	status := m.Run()
-	_ = os.RemoveAll(folder)
-	os.Exit(status)
-}
+func TestMain(m *testing.M) { os.Exit(fleet.RunTests(&binaries, m.Run)) }
 
 // testTimeout ends a test that hangs; no verdict depends on it otherwise.
 const testTimeout = 2 * time.Minute
--- a/test/record/record_test.go
+++ b/test/record/record_test.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -27,17 +26,7 @@
 
 var binaries fleet.Binaries
 
-func TestMain(m *testing.M) {
-	built, folder, err := fleet.Build()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binaries = built
-	status := m.Run()
-	_ = os.RemoveAll(folder)
-	os.Exit(status)
-}
+func TestMain(m *testing.M) { os.Exit(fleet.RunTests(&binaries, m.Run)) }
 
 // testTimeout ends a test that hangs; no verdict depends on it otherwise.
 const testTimeout = 2 * time.Minute
