Name holders of copies and versions of peers by what they are

Cause: witness, ward, rumour and hope are metaphors, which the style forbids.

Change: copyHolder, entryCopies, PeerVersion and drift. The dump's field witnesses is copyHolders now.

Conclusion: none further.

--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -22,13 +22,13 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
-	heard   chan Rumour
+	heard   chan PeerVersion
 	// choose picks the endpoints that the process works with.
 	choose func(*Snapshot) map[usher.ServiceName][]*usher.Endpoint
 }
 
-// Rumour is the news that a peer holds a newer version.
-type Rumour struct {
+// PeerVersion is the news that a peer holds a newer version.
+type PeerVersion struct {
 	// Peer is the address of its peer listener.
 	Peer    string
 	Version usher.Version
@@ -44,7 +44,7 @@
 
 // NewHolder returns a holder of the empty snapshot.
 func NewHolder() *Holder {
-	h := &Holder{changed: make(chan struct{}), heard: make(chan Rumour, 1)}
+	h := &Holder{changed: make(chan struct{}), heard: make(chan PeerVersion, 1)}
 	h.current.Store(Empty())
 	return h
 }
@@ -88,13 +88,13 @@
 		return
 	}
 	select {
-	case h.heard <- Rumour{Peer: peer, Version: version}:
+	case h.heard <- PeerVersion{Peer: peer, Version: version}:
 	default:
 	}
 }
 
 // Heard delivers what Hear took note of.
-func (h *Holder) Heard() <-chan Rumour { return h.heard }
+func (h *Holder) Heard() <-chan PeerVersion { return h.heard }
 
 // Offer takes a snapshot in if it is newer and says whether it did. A newer
 // one that was not built on the current one is refused as well: taking it in
--- a/internal/record/hold.go
+++ b/internal/record/hold.go
@@ -140,7 +140,7 @@
 // lost its copies, so what it held is stored at once.
 func (r *Recorder) learn(endpoint usher.EndpointName, reply *wire.RecordReply) {
 	r.mu.Lock()
-	known := r.witness(endpoint)
+	known := r.copyHolder(endpoint)
 	lost := known.restarted(reply.Incarnation)
 	known.incarnation = reply.Incarnation
 	for _, head := range reply.Seen {
--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -45,15 +45,15 @@
 	metrics keeperMetrics
 
 	mu      sync.Mutex
-	entries map[string]*ward
+	entries map[string]*entryCopies
 	// turn rotates which writers' batches are passed on.
 	turn int
 	// order lists the prefixes of entries, so that turn means something.
 	order []string
 }
 
-// ward is an entry whose copies are held.
-type ward struct {
+// entryCopies is what is held for one entry.
+type entryCopies struct {
 	heard  time.Time
 	head   wire.RecordHead
 	copies map[string]*heldCopy
@@ -85,7 +85,7 @@
 			takenOver: group.Counter("copiesTakenOver").Add, batches: group.Counter("batchesTakenOver").Add,
 			refused: group.Counter("copiesRefused").Add,
 		},
-		entries: make(map[string]*ward),
+		entries: make(map[string]*entryCopies),
 	}
 }
 
@@ -109,7 +109,7 @@
 		return false
 	}
 	prefix, suffix := SplitID(decision.ID)
-	entry := k.ward(prefix)
+	entry := k.entryCopies(prefix)
 	made := &heldCopy{decision: decision, since: time.Now(), bytes: sizeOf(&decision)}
 	if existing, ok := entry.copies[suffix]; ok {
 		if Supersedes(&existing.decision, &decision) {
@@ -141,11 +141,11 @@
 	return ok && entry.copies[suffix] != nil
 }
 
-// ward needs the lock.
-func (k *Keeper) ward(prefix string) *ward {
+// entryCopies needs the lock.
+func (k *Keeper) entryCopies(prefix string) *entryCopies {
 	known, ok := k.entries[prefix]
 	if !ok {
-		known = &ward{heard: time.Now(), copies: make(map[string]*heldCopy), sealed: make(map[usher.ObjectKey][]byte)}
+		known = &entryCopies{heard: time.Now(), copies: make(map[string]*heldCopy), sealed: make(map[usher.ObjectKey][]byte)}
 		k.entries[prefix] = known
 		k.order = append(k.order, prefix)
 	}
@@ -172,7 +172,7 @@
 func (k *Keeper) exchange(args *wire.RecordArgs) wire.RecordReply {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	entry := k.ward(args.Prefix)
+	entry := k.entryCopies(args.Prefix)
 	entry.heard = time.Now()
 	if args.Head.Digest != "" {
 		entry.head = args.Head
@@ -197,7 +197,7 @@
 }
 
 // holdSealed needs the lock.
-func (k *Keeper) holdSealed(entry *ward, batch wire.SealedBatch) bool {
+func (k *Keeper) holdSealed(entry *entryCopies, batch wire.SealedBatch) bool {
 	if _, ok := entry.sealed[batch.Key]; ok {
 		return true
 	}
@@ -211,7 +211,7 @@
 }
 
 // release needs the lock.
-func (k *Keeper) release(entry *ward, suffix string) {
+func (k *Keeper) release(entry *entryCopies, suffix string) {
 	if held, ok := entry.copies[suffix]; ok {
 		k.bytes.Add(-held.bytes)
 		k.metrics.released(1)
--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -67,8 +67,8 @@
 
 	mu    sync.Mutex
 	peers Peers
-	// witnesses is what is known of each companion that holds copies.
-	witnesses map[usher.EndpointName]*witness
+	// copyHolders is what is known of each companion that holds copies.
+	copyHolders map[usher.EndpointName]*copyHolder
 	// seen are stored batches of other writers that were not countersigned yet.
 	seen map[string]wire.RecordHead
 	// countersigned is the newest batch of each writer that was.
@@ -77,8 +77,8 @@
 	down          bool
 }
 
-// witness is a companion that may hold copies.
-type witness struct {
+// copyHolder is a companion that may hold copies.
+type copyHolder struct {
 	incarnation usher.Incarnation
 	// held counts the copies that were not released.
 	held            int
@@ -88,8 +88,8 @@
 
 // restarted says whether the incarnation is another one than that which took
 // the copies. One that was gone for a while was made up for then.
-func (w *witness) restarted(now usher.Incarnation) bool {
-	return w.held > 0 && w.incarnation != "" && w.incarnation != goneIncarnation && w.incarnation != now
+func (h *copyHolder) restarted(now usher.Incarnation) bool {
+	return h.held > 0 && h.incarnation != "" && h.incarnation != goneIncarnation && h.incarnation != now
 }
 
 type recorderMetrics struct {
@@ -115,8 +115,8 @@
 			stored: group.Counter("bytesStored").Add, failures: group.Counter("storeFailures").Add,
 			displaced: group.Counter("displaced").Add,
 		},
-		witnesses: make(map[usher.EndpointName]*witness),
-		seen:      make(map[string]wire.RecordHead), countersigned: make(map[string]uint64),
+		copyHolders: make(map[usher.EndpointName]*copyHolder),
+		seen:        make(map[string]wire.RecordHead), countersigned: make(map[string]uint64),
 	}
 }
 
@@ -180,7 +180,7 @@
 	r.mu.Lock()
 	lost := false
 	for i, endpoint := range at {
-		known := r.witness(endpoint)
+		known := r.copyHolder(endpoint)
 		if i == len(at)-1 && by != "" {
 			lost = known.restarted(by)
 			known.incarnation = by
@@ -193,12 +193,12 @@
 	}
 }
 
-// witness needs the lock.
-func (r *Recorder) witness(endpoint usher.EndpointName) *witness {
-	known, ok := r.witnesses[endpoint]
+// copyHolder needs the lock.
+func (r *Recorder) copyHolder(endpoint usher.EndpointName) *copyHolder {
+	known, ok := r.copyHolders[endpoint]
 	if !ok {
-		known = &witness{}
-		r.witnesses[endpoint] = known
+		known = &copyHolder{}
+		r.copyHolders[endpoint] = known
 	}
 	return known
 }
@@ -223,7 +223,7 @@
 	Limit       int64          `json:"limit"`
 	Batches     int            `json:"batches"`
 	StoreDown   bool           `json:"storeDown"`
-	Witnesses   int            `json:"witnesses"`
+	CopyHolders int            `json:"copyHolders"`
 	Writers     int64          `json:"writers"`
 	IntervalMS  int64          `json:"intervalMs"`
 	LastStored  uint64         `json:"lastStored"`
@@ -236,13 +236,13 @@
 	head := r.outbox.storedHead()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	copies := make(map[string]int, len(r.witnesses))
-	for name, one := range r.witnesses {
+	copies := make(map[string]int, len(r.copyHolders))
+	for name, one := range r.copyHolders {
 		copies[string(name)] = one.held
 	}
 	return Backlog{
 		Writer: r.outbox.writer, Bytes: r.outbox.bytes.Load(), Limit: r.options.Limit,
-		Batches: len(r.outbox.unstored()), StoreDown: r.down, Witnesses: len(r.witnesses),
+		Batches: len(r.outbox.unstored()), StoreDown: r.down, CopyHolders: len(r.copyHolders),
 		Writers: r.writers.Load(), IntervalMS: r.interval().Milliseconds(),
 		LastStored: head.Sequence, LastDigest: head.Digest, CopiesAbout: copies,
 	}
--- a/internal/record/run.go
+++ b/internal/record/run.go
@@ -134,7 +134,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if holder := r.outbox.holderOf(batch); holder != "" {
-		one := r.witness(holder)
+		one := r.copyHolder(holder)
 		one.releasedBatches = append(one.releasedBatches, batch.Key, r.outbox.announcement().Key)
 		one.held--
 	}
@@ -147,7 +147,7 @@
 	for _, one := range items {
 		_, suffix := SplitID(one.id)
 		for _, endpoint := range one.at {
-			known := r.witness(endpoint)
+			known := r.copyHolder(endpoint)
 			known.held--
 			if len(known.released) < maxReleased {
 				known.released = append(known.released, suffix)
@@ -169,7 +169,7 @@
 			continue
 		}
 		r.mu.Lock()
-		r.witness(endpoint).held++
+		r.copyHolder(endpoint).held++
 		r.mu.Unlock()
 		r.outbox.setHolder(batch, held, endpoint)
 		r.release(r.outbox.drop(batch))
@@ -198,9 +198,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	messages := make(map[usher.EndpointName]*wire.RecordArgs)
-	for endpoint, one := range r.witnesses {
+	for endpoint, one := range r.copyHolders {
 		if one.held <= 0 && len(one.released) == 0 && len(one.releasedBatches) == 0 {
-			delete(r.witnesses, endpoint)
+			delete(r.copyHolders, endpoint)
 			continue
 		}
 		messages[endpoint] = &wire.RecordArgs{Released: one.released, ReleasedBatches: one.releasedBatches}
@@ -213,7 +213,7 @@
 // reached may be gone with its copies.
 func (r *Recorder) unsent(endpoint usher.EndpointName, args *wire.RecordArgs) {
 	r.mu.Lock()
-	one := r.witness(endpoint)
+	one := r.copyHolder(endpoint)
 	one.released = append(args.Released, one.released...)
 	one.released = one.released[:min(len(one.released), maxReleased)]
 	one.releasedBatches = append(args.ReleasedBatches, one.releasedBatches...)
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -98,9 +98,9 @@
 func (s *Spread) listen(ctx context.Context) error {
 	for {
 		select {
-		case rumour := <-s.holder.Heard():
-			if rumour.Version > s.holder.Current().Version && !s.isSuspended(rumour.Peer) && s.poll(ctx, rumour.Peer, 0) != nil {
-				s.suspend(rumour.Peer)
+		case heard := <-s.holder.Heard():
+			if heard.Version > s.holder.Current().Version && !s.isSuspended(heard.Peer) && s.poll(ctx, heard.Peer, 0) != nil {
+				s.suspend(heard.Peer)
 			}
 		case <-ctx.Done():
 			return nil
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -37,7 +37,7 @@
 		if s.askSeeds(ctx, s.self.Seeds) || s.bootstrapFromStore(ctx, round) == nil {
 			continue
 		}
-		s.awaitRumour(ctx, jittered(delay))
+		s.awaitPeerVersion(ctx, jittered(delay))
 		delay = min(2*delay, maxRetry)
 	}
 }
@@ -56,13 +56,13 @@
 // Error implements error.
 func (*NoPeerError) Error() string { return "no peer has the configuration yet" }
 
-// awaitRumour pauses before the next try, or asks the peer that was heard of.
-func (s *Spread) awaitRumour(ctx context.Context, delay time.Duration) {
+// awaitPeerVersion pauses before the next try, or asks the peer that was heard of.
+func (s *Spread) awaitPeerVersion(ctx context.Context, delay time.Duration) {
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
-	case rumour := <-s.holder.Heard():
-		_ = s.poll(ctx, rumour.Peer, 0)
+	case heard := <-s.holder.Heard():
+		_ = s.poll(ctx, heard.Peer, 0)
 	case <-timer.C:
 	case <-ctx.Done():
 	}
--- a/internal/waiting/pace.go
+++ b/internal/waiting/pace.go
@@ -78,10 +78,10 @@
 	answerMemory = 32
 	// bestRise is in how many steps the best pace follows a slower one.
 	bestRise = 500
-	// hopeAfter is after which time without tokens the pace drifts to the best
-	// one, and hopeMemory the time constant of that.
-	hopeAfter  = time.Second
-	hopeMemory = time.Second
+	// driftAfter is after which time without tokens the pace drifts to the best
+	// one, and driftMemory the time constant of that.
+	driftAfter  = time.Second
+	driftMemory = time.Second
 	// tolerableNumerator and tolerableDenominator say how many times the pace
 	// of a request that is alone in the engine is tolerated where the target
 	// can't be kept at all.
@@ -139,7 +139,7 @@
 	count := p.gapCount.Swap(0)
 	sum := p.gapSum.Swap(0)
 	if count == 0 {
-		p.hope(now, elapsed)
+		p.drift(now, elapsed)
 		return
 	}
 	p.seen = now
@@ -158,14 +158,14 @@
 	p.adapt(now, saturated)
 }
 
-// hope lets the learned pace drift to the best one while no token comes. An
+// drift lets the learned pace drift to the best one while no token comes. An
 // engine that was slow and got no work since would else be taken for slow for
 // ever, because nothing is sent there that could show that it recovered.
-func (p *pace) hope(now time.Time, elapsed time.Duration) {
-	if p.best == 0 || now.Sub(p.seen) < hopeAfter || p.gap <= p.best {
+func (p *pace) drift(now time.Time, elapsed time.Duration) {
+	if p.best == 0 || now.Sub(p.seen) < driftAfter || p.gap <= p.best {
 		return
 	}
-	weight := 1 - math.Exp(-float64(min(elapsed, time.Second))/float64(hopeMemory))
+	weight := 1 - math.Exp(-float64(min(elapsed, time.Second))/float64(driftMemory))
 	p.gap -= time.Duration(weight * float64(p.gap-p.best))
 }
 
