Wait between two tries in one place, and call operators' sides in one

Cause: the same pause stood in eight packages, and dump and stop announce wrote out the same HTTP call.

Ruled out: the set-up of the process tests, which is alike by shape only and reads better where it is used; the pairs that the language's own form makes.

Change: internal/pause, and callAdmin in internal/command.

Conclusion: behaviour is the same but for a delay of zero, which no longer makes a timer.

--- a/internal/command/change.go
+++ b/internal/command/change.go
@@ -216,17 +216,9 @@
 }
 
 func announceStop(ctx context.Context, address string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+admin.PathStop, nil)
+	body, err := callAdmin(ctx, http.MethodPost, address, admin.PathStop, http.StatusAccepted)
 	if err != nil {
 		return err
 	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusAccepted {
-		return &StatusError{Status: response.StatusCode}
-	}
-	return nil
+	return body.Close()
 }
--- a/internal/companion/fence.go
+++ b/internal/companion/fence.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -54,7 +55,7 @@
 			return nil
 		}
 		f.log.Warn().Err(err).Msg("fenceNotRaised")
-		sleep(ctx, fenceRetry)
+		pause.For(ctx, fenceRetry)
 	}
 	return nil
 }
--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -9,6 +9,7 @@
 	"io"
 	"time"
 
+	"filbertusher/internal/pause"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -55,7 +56,7 @@
 		return stream, answer, err
 	}
 	for attempt := 0; attempt < resumeAttempts && ctx.Err() == nil; attempt++ {
-		sleep(ctx, resumeDelay)
+		pause.For(ctx, resumeDelay)
 		resumed, errResume := c.Backend.Resume(ctx, w.args.Header.ID, 0)
 		if errResume == nil {
 			c.metrics.resumed(1)
@@ -85,7 +86,7 @@
 }
 
 func (w *work) resume(ctx context.Context, reader *streamReader) error {
-	sleep(ctx, resumeDelay)
+	pause.For(ctx, resumeDelay)
 	stream, err := w.companion.Backend.Resume(ctx, w.args.Header.ID, reader.next)
 	if err != nil {
 		return err
--- a/internal/companion/work.go
+++ b/internal/companion/work.go
@@ -145,12 +145,3 @@
 		w.companion.Log.Debug().Err(err).Str("requestId", string(w.args.Header.ID)).Msg("cancelFailed")
 	}
 }
-
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,12 +116,3 @@
 	h.changed = make(chan struct{})
 	return true
 }
-
-func pause(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/config/load.go
+++ b/internal/config/load.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -236,7 +237,7 @@
 		if !errors.As(err, &unavailable) || attempt == readAttempts || ctx.Err() != nil {
 			return object, err
 		}
-		pause(ctx, delay/2+rand.N(delay))
+		pause.For(ctx, delay/2+rand.N(delay))
 		delay *= 2
 	}
 }
--- a/internal/config/save.go
+++ b/internal/config/save.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -125,7 +126,7 @@
 		if err == nil || errors.As(err, &conflict) {
 			return nil
 		}
-		pause(ctx, retryDelay)
+		pause.For(ctx, retryDelay)
 	}
 	return err
 }
@@ -147,7 +148,7 @@
 		case err == nil:
 			return nil
 		case !errors.As(err, &conflict):
-			pause(ctx, retryDelay)
+			pause.For(ctx, retryDelay)
 		case expected != 0 && conflict.Current != 0:
 			return nil
 		default:
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -66,7 +67,7 @@
 			return got
 		}
 		c.count = 0
-		sleep(ctx, reachDelay)
+		pause.For(ctx, reachDelay)
 	}
 	return refused(c.shed(ctx))
 }
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -11,6 +11,7 @@
 
 	"filbertusher/internal/journal"
 	"filbertusher/internal/link"
+	"filbertusher/internal/pause"
 	"filbertusher/internal/ticket"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
@@ -91,7 +92,7 @@
 	for ctx.Err() == nil {
 		endpoint, ok := route.choose()
 		if !ok {
-			sleep(ctx, keyedPause)
+			pause.For(ctx, keyedPause)
 			continue
 		}
 		if got, final := route.try(ctx, endpoint); final {
@@ -239,7 +240,7 @@
 	for ctx.Err() == nil && time.Now().Before(patience) {
 		peer := e.peers.of(named.Endpoint)
 		if peer == nil {
-			sleep(ctx, keyedPause)
+			pause.For(ctx, keyedPause)
 			continue
 		}
 		reply, stream, err := e.submitKeyed(ctx, accepted, peer, view)
@@ -254,7 +255,7 @@
 		case !errors.As(err, &unreachable):
 			lost = true
 		}
-		sleep(ctx, keyedPause)
+		pause.For(ctx, keyedPause)
 	}
 	if lost {
 		return refused(usher.NewUnknown(usher.RefusalEndpointFailed, "the companion of the ticket can't be reached"))
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"filbertusher/internal/link"
+	"filbertusher/internal/pause"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -197,7 +198,7 @@
 			}
 			p.unreached(failing, err)
 			p.link.Reset()
-			sleep(ctx, p.reconnectPause())
+			pause.For(ctx, p.reconnectPause())
 			continue
 		}
 		failing = time.Time{}
--- a/internal/entry/settle.go
+++ b/internal/entry/settle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertusher/internal/link"
+	"filbertusher/internal/pause"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -70,7 +71,7 @@
 		reply := &wire.SubmitReply{}
 		args := &wire.FetchArgs{Caller: e.caller(), ID: accepted.ID, Stream: stream.number}
 		if err := peer.call(ctx, wire.MethodFetch, args, reply); err != nil {
-			sleep(ctx, reconnectDelay)
+			pause.For(ctx, reconnectDelay)
 			continue
 		}
 		if reply.State == wire.StateNotKnown || reply.Incarnation != stream.contact.incarnation {
@@ -115,12 +116,3 @@
 	}
 	return usher.RefusalCancelled
 }
-
-func sleep(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -79,7 +80,7 @@
 		err := s.write(ctx)
 		<-s.writing
 		if err != nil && ctx.Err() == nil {
-			pause(ctx, retryDelay)
+			pause.For(ctx, retryDelay)
 		}
 	}
 }
@@ -87,15 +88,6 @@
 // retryDelay is the pause after a write that the store did not take.
 const retryDelay = 50 * time.Millisecond
 
-func pause(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // flush writes what is pending, for nobody in particular.
 func (s *Slot) flush(ctx context.Context) error {
 	select {
--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -49,7 +50,7 @@
 		if isUnavailable(err) && refused < maxRefused {
 			// The store refused a call, of which it promises that it had no effect.
 			refused++
-			pause(ctx, settleDelay)
+			pause.For(ctx, settleDelay)
 			continue
 		}
 		if err != nil || !again {
@@ -58,7 +59,7 @@
 		if attempt == maxAttempts {
 			return nil, &usher.ConflictError{Key: config.HeadKey, Expected: base.Version, Current: current.Version}
 		}
-		pause(ctx, time.Duration(rand.Int64N(int64(attemptDelay))))
+		pause.For(ctx, time.Duration(rand.Int64N(int64(attemptDelay))))
 	}
 }
 
@@ -123,7 +124,7 @@
 		if attempt == settleAttempts || ctx.Err() != nil {
 			return false, &UnknownOutcomeError{ID: next.Head.ID, Cause: err}
 		}
-		pause(ctx, settleDelay)
+		pause.For(ctx, settleDelay)
 		head, now, readErr := config.LoadHead(ctx, o.store)
 		switch {
 		case readErr != nil:
@@ -297,12 +298,3 @@
 	}
 	return o.Apply(ctx, Change{Note: note, Put: changed, Delete: deleted, Expect: current.Version})
 }
-
-func pause(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/pause/pause.go
@@ -0,0 +1,21 @@
+// Package pause waits between two tries of something.
+package pause
+
+import (
+	"context"
+	"time"
+)
+
+// For waits for a delay or until ctx ends, whichever comes first. A delay of
+// zero or less does not wait.
+func For(ctx context.Context, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/record/keeper.go
+++ b/internal/record/keeper.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/pause"
 	"filbertusher/internal/telemetry"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
@@ -251,7 +252,7 @@
 // Run stores the copies of entries that fell silent until ctx ends.
 func (k *Keeper) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, jitter(k.options.Silence/2))
+		pause.For(ctx, jitter(k.options.Silence/2))
 		k.step(ctx, false)
 	}
 	return nil
--- a/internal/record/outbox.go
+++ b/internal/record/outbox.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"filbertusher/internal/pause"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -168,7 +169,7 @@
 func (o *outbox) Drain(ctx context.Context, gap, limit time.Duration, done func(*sealedBatch, error)) error {
 	started := time.Now()
 	for batch, wait := o.oldest(), time.Duration(0); batch != nil; batch, wait = o.oldest(), gap {
-		pause(ctx, wait)
+		pause.For(ctx, wait)
 		if time.Since(started) >= limit || ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -279,15 +280,3 @@
 	defer o.mu.Unlock()
 	return o.head
 }
-
-func pause(ctx context.Context, delay time.Duration) {
-	if delay <= 0 {
-		return
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/record/run.go
+++ b/internal/record/run.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"filbertusher/internal/pause"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -253,7 +254,7 @@
 			r.log.Error().Err(err).Int("batches", len(r.outbox.unstored())).Msg("recordNotStored")
 			return false
 		}
-		pause(ctx, holdTimeout)
+		pause.For(ctx, holdTimeout)
 	}
 }
 
--- a/internal/record/takeover.go
+++ b/internal/record/takeover.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"filbertusher/internal/pause"
 	"filbertusher/internal/wire"
 )
 
@@ -27,7 +28,7 @@
 	done := true
 	for _, batch := range sealed {
 		done = k.storeSealed(ctx, batch) && done
-		pause(ctx, takeoverGap)
+		pause.For(ctx, takeoverGap)
 	}
 	k.outbox.Seal(heads, false)
 	err := k.outbox.Drain(ctx, takeoverGap, k.options.Silence, func(batch *sealedBatch, _ error) {
@@ -110,7 +111,7 @@
 			k.log.Warn().Msg("recordCopiesLeft")
 			return false
 		}
-		pause(ctx, holdTimeout)
+		pause.For(ctx, holdTimeout)
 	}
 	k.outbox.Seal(nil, true)
 	if err := k.outbox.Drain(ctx, 0, closeTimeout, func(*sealedBatch, error) {}); err != nil {
--- a/internal/spread/memory.go
+++ b/internal/spread/memory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/pause"
 )
 
 // A large configuration is the largest thing that a process holds for control,
@@ -50,7 +51,7 @@
 func (m *memory) run(ctx context.Context) error {
 	var trimmed, seen int64
 	for ctx.Err() == nil {
-		pause(ctx, trimDelay)
+		pause.For(ctx, trimDelay)
 		worked := m.worked.Load()
 		if worked == seen && worked != trimmed {
 			debug.FreeOSMemory()
--- a/internal/spread/peers.go
+++ b/internal/spread/peers.go
@@ -7,6 +7,7 @@
 
 	"filbertusher/internal/config"
 	"filbertusher/internal/link"
+	"filbertusher/internal/pause"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -50,7 +51,7 @@
 		}
 		if s.holder.Current().Version > before {
 			// In a burst of changes the next poll brings many at once.
-			pause(ctx, burstInterval)
+			pause.For(ctx, burstInterval)
 		}
 	}
 	return nil
@@ -81,7 +82,7 @@
 // brings a version to a zone whose way to the store is cut.
 func (s *Spread) askAcross(ctx context.Context) error {
 	for turn := 0; ctx.Err() == nil; turn++ {
-		pause(ctx, jittered(acrossInterval))
+		pause.For(ctx, jittered(acrossInterval))
 		peers := s.acrossPeers()
 		if len(peers) == 0 || ctx.Err() != nil {
 			continue
@@ -166,7 +167,7 @@
 func (s *Spread) takeFrom(ctx context.Context, address string, from *config.Snapshot, head *config.Head, reply *wire.SnapshotReply) error {
 	if config.Diverged(&from.Head, head) {
 		s.metrics.refused(1)
-		pause(ctx, refusedDelay)
+		pause.For(ctx, refusedDelay)
 		return nil
 	}
 	s.taking.Lock()
--- a/internal/spread/repair.go
+++ b/internal/spread/repair.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -19,7 +20,7 @@
 // stillAt waits for this process's turn to repair and says whether the head is
 // still the one that has to be repaired.
 func (s *Spread) stillAt(ctx context.Context, version usher.Version) bool {
-	pause(ctx, time.Duration(rand.Int64N(int64(repairSpread))))
+	pause.For(ctx, time.Duration(rand.Int64N(int64(repairSpread))))
 	_, now, err := config.LoadHead(ctx, s.store)
 	return err == nil && now == version
 }
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -161,12 +161,3 @@
 func jittered(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Int64N(int64(d)+1))
 }
-
-func pause(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -120,7 +121,7 @@
 		if err == nil {
 			revision, delay = next, firstRetry
 			if s.holder.Current().Version > before {
-				pause(ctx, jittered(watchInterval))
+				pause.For(ctx, jittered(watchInterval))
 			}
 			continue
 		}
@@ -133,7 +134,7 @@
 			return
 		}
 		s.log.Warn().Err(err).Msg("storeUnavailable")
-		pause(ctx, jittered(delay))
+		pause.For(ctx, jittered(delay))
 		delay = min(2*delay, maxRetry)
 	}
 }
--- a/internal/standin/soak/chaos.go
+++ b/internal/standin/soak/chaos.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/pause"
 	"filbertusher/internal/standin/fault"
 	"filbertusher/internal/standin/fleet"
 	"filbertusher/internal/standin/store"
@@ -73,7 +74,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(random.Int64N(int64(2*r.options.FaultGap))))
+		pause.For(ctx, time.Duration(random.Int64N(int64(2*r.options.FaultGap))))
 		select {
 		case room <- struct{}{}:
 		case <-ctx.Done():
@@ -129,15 +130,6 @@
 	r.faults[name]++
 }
 
-func pause(ctx context.Context, delay time.Duration) {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // between returns a duration from least to most.
 func between(random *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(random.Int64N(int64(most-least)))
@@ -180,7 +172,7 @@
 	r.noteInFlight(at)
 	frozen := r.companion(at)
 	frozen.Signal(syscall.SIGSTOP)
-	pause(ctx, between(random, 100*time.Millisecond, 6*time.Second))
+	pause.For(ctx, between(random, 100*time.Millisecond, 6*time.Second))
 	frozen.Signal(syscall.SIGCONT)
 }
 
@@ -190,9 +182,9 @@
 	old := r.companion(at)
 	old.Signal(syscall.SIGSTOP)
 	r.restartCompanion(at)
-	pause(ctx, between(random, 100*time.Millisecond, 4*time.Second))
+	pause.For(ctx, between(random, 100*time.Millisecond, 4*time.Second))
 	old.Signal(syscall.SIGCONT)
-	pause(ctx, between(random, 100*time.Millisecond, 2*time.Second))
+	pause.For(ctx, between(random, 100*time.Millisecond, 2*time.Second))
 	old.Kill()
 }
 
@@ -231,7 +223,7 @@
 		if _, err := r.whole.Put(ctx, config.KindEndpoint, string(declared.Name), declared); err == nil {
 			return
 		}
-		pause(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 }
 
@@ -255,7 +247,7 @@
 	frozen := r.entries[at]
 	r.mu.Unlock()
 	frozen.Signal(syscall.SIGSTOP)
-	pause(ctx, between(random, 100*time.Millisecond, 4*time.Second))
+	pause.For(ctx, between(random, 100*time.Millisecond, 4*time.Second))
 	frozen.Signal(syscall.SIGCONT)
 }
 
@@ -271,7 +263,7 @@
 	if r.proxies.Add(link, toxic) != nil {
 		return
 	}
-	pause(ctx, hold)
+	pause.For(ctx, hold)
 	_ = r.proxies.Heal(context.Background(), link)
 	_ = r.proxies.Cut(link)
 }
@@ -289,7 +281,7 @@
 	if r.proxies.Down(link) != nil {
 		return
 	}
-	pause(ctx, between(random, 0, 3*time.Second))
+	pause.For(ctx, between(random, 0, 3*time.Second))
 	_ = r.proxies.Up(link)
 }
 
@@ -317,7 +309,7 @@
 
 func (r *run) slowDesk(ctx context.Context, random *rand.Rand, at int) {
 	_ = r.whole.Desks[at].Control(context.Background(), "delay", between(random, 10*time.Millisecond, 400*time.Millisecond).String())
-	pause(ctx, between(random, 100*time.Millisecond, 3*time.Second))
+	pause.For(ctx, between(random, 100*time.Millisecond, 3*time.Second))
 	_ = r.whole.Desks[at].Control(context.Background(), "delay", "2ms")
 }
 
@@ -326,13 +318,13 @@
 	if r.proxies.Down(link) != nil {
 		return
 	}
-	pause(ctx, between(random, 100*time.Millisecond, 3*time.Second))
+	pause.For(ctx, between(random, 100*time.Millisecond, 3*time.Second))
 	_ = r.proxies.Up(link)
 }
 
 func (r *run) storeFault(ctx context.Context, faults store.Faults, hold time.Duration) {
 	_ = r.whole.Store.Control(context.Background(), "faults", faults)
-	pause(ctx, hold)
+	pause.For(ctx, hold)
 	_ = r.whole.Store.Control(context.Background(), "faults", store.Faults{})
 }
 
