Serve the users' platform: gateways that send to endpoints directly

Cause: the platform sets no machine aside for control and no instance has a disk; the entry and companion of the product need both a side process and a store protocol that the platform does not speak.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -54,7 +54,7 @@
 // all lists the subcommands in the order in which the help shows them.
 func all() []*Command {
 	return []*Command{
-		newEntryCommand(), newCompanionCommand(), newDumpCommand(),
+		newEntryCommand(), newCompanionCommand(), newGatewayCommand(), newDumpCommand(),
 		newCheckCommand(), newDiffCommand(), newGetCommand(), newHistoryCommand(),
 		newApplyCommand(), newRollbackCommand(), newPruneCommand(), newPresetCommand(), newLeaveCommand(), newStopCommand(),
 		newRecordCommand(), newSuspectsCommand(),
--- /dev/null
+++ b/internal/dispatch/engine.go
@@ -0,0 +1,287 @@
+package dispatch
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"filbertusher/pkg/usher"
+)
+
+// The model of an engine that nothing is known of. What is learned is by how
+// much an engine is off it, so its scale matters little.
+const (
+	// baseFirst is the time to the first event of a short prompt.
+	baseFirst = 40 * time.Millisecond
+	// basePrefill is the time to read one token of a prompt.
+	basePrefill = 10 * time.Microsecond
+	// basePace is the time between two events of a stream.
+	basePace = 30 * time.Millisecond
+)
+
+const (
+	// learning is the weight of a new observation.
+	learning = 0.2
+	// forgetting is the time constant with which an engine that is not used is
+	// taken for an average one again, so that one that has recovered is found.
+	forgetting = 3 * time.Second
+	// failureCost is by how much an engine that fails every request seems slower.
+	failureCost = 12
+	// firstSuspension and lastSuspension bound for how long an endpoint that
+	// can't be reached gets nothing.
+	firstSuspension = 150 * time.Millisecond
+	lastSuspension  = 2 * time.Second
+	// fullFor is for how long an endpoint that said it is full gets nothing.
+	fullFor = 60 * time.Millisecond
+	// coldCost is by how much an engine that has just started is slower.
+	coldCost = 1.6
+	// otherZone is what a request to another availability zone takes longer.
+	otherZone = 3 * time.Millisecond
+	// mostRatio bounds what is learned from one engine.
+	mostRatio = 50
+)
+
+// engine is what is known of one endpoint.
+type engine struct {
+	usher.Registration
+	own      Load
+	others   Load
+	unheard  map[*Grant]struct{}
+	entitled int
+
+	// ratio is how much longer first events take than the model says, and pace
+	// the time between events; both follow what was seen.
+	ratio   float64
+	pace    time.Duration
+	seen    time.Time
+	failing float64
+
+	suspended  time.Time
+	suspension time.Duration
+}
+
+func newEngine(r usher.Registration) *engine {
+	return &engine{Registration: r, unheard: make(map[*Grant]struct{}), ratio: 1, pace: basePace}
+}
+
+// slots returns how many requests the endpoint runs at once.
+func (e *engine) slots(spec Spec) int {
+	switch {
+	case e.Slots > 0:
+		return e.Slots
+	case spec.Slots > 0:
+		return spec.Slots
+	default:
+		return 1
+	}
+}
+
+// room says whether this instance may send one more request to the endpoint.
+// It may up to its own part of the places, and beyond that where the news of
+// the others leave so many free that not all can reach for them at once.
+func (s *Scheduler) room(v *service, e *engine, now time.Time) bool {
+	if now.Before(e.suspended) {
+		return false
+	}
+	free := e.slots(v.spec) - e.own.Running - e.others.Running
+	if free <= 0 {
+		return false
+	}
+	return e.own.Running < e.entitled || free > len(s.members)/4
+}
+
+// first returns the expected time to the first event of a request.
+func (e *engine) first(v *service, tokens usher.Tokens, now time.Time) time.Duration {
+	model := float64(baseFirst)
+	if v.spec.Engine {
+		model += float64(tokens+e.own.Prefill+e.others.Prefill) * float64(basePrefill)
+	}
+	expected := time.Duration(model * e.ratioNow(now) * (1 + failureCost*e.failingNow(now)))
+	if e.ColdFor > 0 {
+		expected = time.Duration(float64(expected) * coldCost)
+	}
+	// An endpoint that is silent for longer than expected shows it here at once.
+	return max(expected, e.silence(now))
+}
+
+// silence returns for how long the oldest request without an answer has waited
+// beyond its expected time.
+func (e *engine) silence(now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for g := range e.unheard {
+		if waited := now.Sub(g.sent); waited > g.expected {
+			longest = max(longest, waited)
+		}
+	}
+	return longest
+}
+
+func (e *engine) ratioNow(now time.Time) float64 {
+	return 1 + (e.ratio-1)*e.fresh(now)
+}
+
+func (e *engine) failingNow(now time.Time) float64 { return e.failing * e.fresh(now) }
+
+// fresh is how much of what was learned still counts.
+func (e *engine) fresh(now time.Time) float64 {
+	if e.seen.IsZero() {
+		return 1
+	}
+	return math.Exp(-max(0, now.Sub(e.seen).Seconds()-0.5) / forgetting.Seconds())
+}
+
+// finish returns the expected time to the end of the answer.
+func (e *engine) finish(v *service, ask *Ask, zone usher.AvailabilityZone, now time.Time) time.Duration {
+	cached := v.prefix.cached(ask.Prefix, e.Name)
+	expected := e.first(v, max(0, ask.Prompt-cached), now)
+	if v.spec.Engine && v.spec.TokensPerEvent > 0 {
+		expected += time.Duration(int(ask.Answer)/v.spec.TokensPerEvent) * e.pace
+	}
+	if e.Zone != zone {
+		expected += otherZone
+	}
+	return expected
+}
+
+// best returns the endpoint with a free place that is expected to finish the
+// request first. One that would begin too late is taken only if no other place
+// is likely to do better.
+func (s *Scheduler) best(v *service, ask *Ask, now time.Time) *engine {
+	var best *engine
+	var bestFinish time.Duration
+	for _, e := range v.engines {
+		if !s.room(v, e, now) || slices.Contains(ask.Tried, e.Name) {
+			continue
+		}
+		finish := e.finish(v, ask, s.options.Zone, now)
+		if best == nil || finish < bestFinish {
+			best, bestFinish = e, finish
+		}
+	}
+	return best
+}
+
+// End is how a request that was sent ended.
+type End int
+
+// The ends of a request.
+const (
+	// Answered requests got an answer that is no failure of the endpoint.
+	Answered End = iota
+	// Failed requests were answered by a failure, or the answer broke off.
+	Failed
+	// Full means that the endpoint had no room and ran nothing.
+	Full
+	// Unreachable means that nothing could be sent.
+	Unreachable
+	// Cancelled requests were left by their caller.
+	Cancelled
+)
+
+// Grant is the right of one request to be at an endpoint.
+type Grant struct {
+	Endpoint usher.Registration
+	// Expected is the time to the first event that the choice was made for, and
+	// Running how many requests were known to be there.
+	Expected time.Duration
+	Running  int
+
+	scheduler *Scheduler
+	service   *service
+	engine    *engine
+	prompt    usher.Tokens
+	sent      time.Time
+	expected  time.Duration
+	heard     bool
+	ended     bool
+	last      time.Time
+}
+
+// grant needs the lock.
+func (s *Scheduler) grant(v *service, e *engine, ask *Ask, now time.Time) *Grant {
+	tokens := max(0, ask.Prompt-v.prefix.cached(ask.Prefix, e.Name))
+	g := &Grant{
+		Endpoint: e.Registration, Expected: e.first(v, tokens, now), Running: e.own.Running + e.others.Running,
+		scheduler: s, service: v, engine: e, prompt: tokens, sent: now,
+	}
+	g.expected = g.Expected
+	e.own.Running++
+	e.own.Prefill += tokens
+	e.unheard[g] = struct{}{}
+	v.prefix.note(ask.Prefix, e.Name, now)
+	return g
+}
+
+// First notes the first event of the answer.
+func (g *Grant) First() {
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	g.last = now
+	if g.heard || g.ended {
+		return
+	}
+	g.hear()
+	e := g.engine
+	model := float64(g.expected) / max(0.01, e.ratioNow(g.sent)*(1+failureCost*e.failingNow(g.sent)))
+	if model > 0 {
+		e.observe(min(mostRatio, float64(now.Sub(g.sent))/model), now)
+	}
+	e.failing *= 1 - learning
+	e.suspension = 0
+}
+
+// hear takes the request out of those without an answer. It needs the lock.
+func (g *Grant) hear() {
+	g.heard = true
+	delete(g.engine.unheard, g)
+	g.engine.own.Prefill -= g.prompt
+}
+
+func (e *engine) observe(ratio float64, now time.Time) {
+	e.ratio = e.ratioNow(now) + (ratio-e.ratioNow(now))*learning
+	e.seen = now
+}
+
+// Events notes that n events have come since the last call.
+func (g *Grant) Events(n int) {
+	if n == 0 {
+		return
+	}
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	gap := now.Sub(g.last) / time.Duration(n)
+	g.last = now
+	g.engine.pace += time.Duration(float64(gap-g.engine.pace) * learning)
+}
+
+// End gives the place back. It may be called more than once.
+func (g *Grant) End(how End) {
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g.ended {
+		return
+	}
+	g.ended = true
+	e, now := g.engine, s.options.Now()
+	if !g.heard {
+		g.hear()
+	}
+	e.own.Running--
+	switch how {
+	case Failed:
+		e.failing = e.failingNow(now) + (1-e.failingNow(now))*learning
+		e.seen = now
+	case Full:
+		e.suspended = now.Add(fullFor)
+	case Unreachable:
+		e.suspension = min(lastSuspension, max(firstSuspension, 2*e.suspension))
+		e.suspended = now.Add(e.suspension)
+	case Answered, Cancelled:
+	}
+	s.match(g.service, now)
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,305 @@
+// Package follow keeps a process up to date with the directory: the
+// configuration, the endpoints, and the other instances. It paces its calls,
+// tells when the directory is lost and regained, and proves how fresh the
+// configuration is.
+package follow
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"filbertusher/internal/boottime"
+	"filbertusher/internal/pause"
+	"filbertusher/internal/roster"
+	"filbertusher/internal/routing"
+	"filbertusher/pkg/usher"
+)
+
+const (
+	// routesWait is how long one watch of the configuration waits. Each reply
+	// proves the configuration as of its call, so this bounds the age of proofs.
+	routesWait = 1200 * time.Millisecond
+	// endpointsWait is how long one watch of the endpoints waits.
+	endpointsWait = 5 * time.Second
+	// endpointsPace is the least time between two watches of the endpoints,
+	// whose entries change all the time.
+	endpointsPace = 250 * time.Millisecond
+	// announceEvery is how often an instance tells that it is there.
+	announceEvery = 3 * time.Second
+	// goneAfter is for how long another instance may fail to announce itself
+	// before it is taken for lost.
+	goneAfter = 10 * time.Second
+	// firstRetry and lastRetry bound the pause after a failed call. Both are
+	// drawn at random, so that instances that failed together spread out.
+	firstRetry = 60 * time.Millisecond
+	lastRetry  = 600 * time.Millisecond
+	// callTimeout bounds calls that don't wait.
+	callTimeout = 1500 * time.Millisecond
+)
+
+// Options say what is followed and who is told.
+type Options struct {
+	Directory usher.Directory
+	Routes    *routing.Holder
+	Roster    *roster.Roster
+	Self      usher.GatewayInstance
+	Log       zerolog.Logger
+	// Instances is told of the instances that are alive, this one included.
+	Instances func(ctx context.Context, instances []usher.GatewayInstance)
+	// EndpointsChanged is told after each change of the roster.
+	EndpointsChanged func()
+}
+
+// Follower is the state of one process.
+type Follower struct {
+	options Options
+	store   dependency
+
+	// confirmed is when the store last confirmed the roster.
+	confirmed atomic.Int64
+
+	mu    sync.Mutex
+	beats map[string]beat
+}
+
+type beat struct {
+	number int64
+	seen   time.Time
+}
+
+// New returns a follower. Run starts it.
+func New(options Options) *Follower {
+	return &Follower{options: options, store: dependency{name: "store", log: options.Log}, beats: make(map[string]beat)}
+}
+
+// RosterAge returns how long ago the store last confirmed the roster.
+func (f *Follower) RosterAge() time.Duration {
+	at := f.confirmed.Load()
+	if at == 0 {
+		return 24 * time.Hour
+	}
+	return boottime.Since(boottime.Time(at))
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { f.routes(ctx); return nil })
+	group.Go(func() error { f.endpoints(ctx); return nil })
+	group.Go(func() error { f.instances(ctx); return nil })
+	return group.Wait()
+}
+
+// Withdraw takes this instance out of the directory, as a planned stop does.
+func (f *Follower) Withdraw(ctx context.Context) error {
+	return f.options.Directory.Withdraw(ctx, f.options.Self.Name)
+}
+
+func (f *Follower) routes(ctx context.Context) {
+	var since usher.Version
+	retry := backoff{}
+	for ctx.Err() == nil {
+		began := boottime.Now()
+		table, next, err := f.nextRoutes(ctx, since)
+		if err != nil {
+			if lost := new(usher.HistoryLostError); errors.As(err, &lost) {
+				since = 0
+				continue
+			}
+			f.store.failed(ctx, "routes", err)
+			since = f.listAgain(since, &retry)
+			retry.wait(ctx)
+			continue
+		}
+		f.store.worked()
+		retry.reset()
+		since = next
+		if table != nil {
+			f.options.Routes.Adopt(table, "store")
+			// An older version than the one in force, as a peer may have told a
+			// newer one, proves nothing; Prove compares.
+			f.options.Routes.Prove(table.Version, began)
+			continue
+		}
+		f.options.Routes.Prove(f.options.Routes.Version(), began)
+	}
+}
+
+// listAgain forgets where the watch stood after a few failures: what was missed
+// may be history by then.
+func (f *Follower) listAgain(since usher.Version, retry *backoff) usher.Version {
+	if retry.failures >= 2 {
+		return 0
+	}
+	return since
+}
+
+func (f *Follower) nextRoutes(ctx context.Context, since usher.Version) (*usher.RouteTable, usher.Version, error) {
+	if since == 0 {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return f.options.Directory.Routes(limited)
+	}
+	limited, cancel := context.WithTimeout(ctx, routesWait+callTimeout)
+	defer cancel()
+	return f.options.Directory.WatchRoutes(limited, since, routesWait)
+}
+
+func (f *Follower) endpoints(ctx context.Context) {
+	var since usher.Version
+	retry := backoff{}
+	var lastWorked time.Time
+	for ctx.Err() == nil {
+		began := boottime.Now()
+		changes, next, err := f.nextEndpoints(ctx, since)
+		if err != nil {
+			if lost := new(usher.HistoryLostError); errors.As(err, &lost) {
+				since = 0
+				continue
+			}
+			f.store.failed(ctx, "endpoints", err)
+			since = f.listAgain(since, &retry)
+			retry.wait(ctx)
+			continue
+		}
+		f.store.worked()
+		retry.reset()
+		if !lastWorked.IsZero() && time.Since(lastWorked) > endpointsWait+callTimeout {
+			f.options.Roster.Disturbed()
+		} else if f.store.regainedSince(lastWorked) {
+			f.options.Roster.Disturbed()
+		}
+		lastWorked = time.Now()
+		if since == 0 {
+			f.options.Roster.Replace(changes, next)
+		} else {
+			f.options.Roster.Apply(changes, next)
+		}
+		f.options.Roster.Expire()
+		f.options.EndpointsChanged()
+		f.confirmed.Store(int64(began))
+		since = next
+		pause.For(ctx, endpointsPace-boottime.Since(began))
+	}
+}
+
+func (f *Follower) nextEndpoints(ctx context.Context, since usher.Version) ([]usher.EndpointChange, usher.Version, error) {
+	if since == 0 {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return f.options.Directory.Endpoints(limited)
+	}
+	limited, cancel := context.WithTimeout(ctx, endpointsWait+callTimeout)
+	defer cancel()
+	return f.options.Directory.WatchEndpoints(limited, since, endpointsWait)
+}
+
+// instances announces this instance and learns of the others.
+func (f *Follower) instances(ctx context.Context) {
+	self := f.options.Self
+	retry := backoff{}
+	for ctx.Err() == nil {
+		self.Beat++
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		err := f.options.Directory.Announce(limited, self)
+		var all []usher.GatewayInstance
+		if err == nil {
+			all, err = f.options.Directory.Instances(limited)
+		}
+		cancel()
+		if err != nil {
+			f.store.failed(ctx, "instances", err)
+			retry.wait(ctx)
+			continue
+		}
+		f.store.worked()
+		retry.reset()
+		f.options.Instances(ctx, f.alive(all))
+		pause.For(ctx, announceEvery+time.Duration(rand.Int64N(int64(announceEvery/4))))
+	}
+}
+
+// alive drops the instances whose beat has stood still for too long by this
+// process's clock. One that was just found counts as alive.
+func (f *Follower) alive(all []usher.GatewayInstance) []usher.GatewayInstance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	alive := make([]usher.GatewayInstance, 0, len(all)+1)
+	self := false
+	for _, instance := range all {
+		known, ok := f.beats[instance.Name]
+		if !ok || known.number != instance.Beat {
+			known = beat{number: instance.Beat, seen: now}
+			f.beats[instance.Name] = known
+		}
+		if instance.Name == f.options.Self.Name {
+			self = true
+		} else if now.Sub(known.seen) > goneAfter {
+			continue
+		}
+		alive = append(alive, instance)
+	}
+	if !self {
+		alive = append(alive, f.options.Self)
+	}
+	return alive
+}
+
+// dependency logs when something this process needs is lost and regained.
+type dependency struct {
+	name string
+	log  zerolog.Logger
+
+	mu       sync.Mutex
+	lost     bool
+	since    time.Time
+	regained time.Time
+}
+
+func (d *dependency) failed(ctx context.Context, what string, cause error) {
+	if ctx.Err() != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lost {
+		return
+	}
+	d.lost, d.since = true, time.Now()
+	d.log.Warn().Err(cause).Str("dependency", d.name).Str("call", what).Msg("dependencyLost")
+}
+
+func (d *dependency) worked() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.lost {
+		return
+	}
+	d.lost, d.regained = false, time.Now()
+	d.log.Info().Str("dependency", d.name).Dur("after", time.Since(d.since)).Msg("dependencyRegained")
+}
+
+func (d *dependency) regainedSince(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.regained.After(at)
+}
+
+// backoff is the pause between failed calls.
+type backoff struct{ failures int }
+
+func (b *backoff) reset() { b.failures = 0 }
+
+func (b *backoff) wait(ctx context.Context) {
+	limit := min(lastRetry, firstRetry<<min(b.failures, 6))
+	b.failures++
+	pause.For(ctx, limit/2+time.Duration(rand.Int64N(int64(limit))))
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"filbertusher/internal/dispatch"
+	"filbertusher/internal/upstream"
+	"filbertusher/pkg/usher"
+)
+
+const (
+	// stallFactor is how many times the longest pause on time a stream may stand
+	// still before it goes on at another endpoint.
+	stallFactor = 3
+	// leastStall is the shortest such time.
+	leastStall = 800 * time.Millisecond
+	// eventsPerReport is after how many events the scheduler is told of the pace.
+	eventsPerReport = 8
+	// writeMargin is how long after its deadline a caller may take to read.
+	writeMargin = time.Second
+)
+
+// relay passes the events of one stream to the caller. The stream may come
+// from several endpoints in turn; the caller sees the head of the first.
+type relay struct {
+	job     *job
+	started bool
+	lastID  string
+	control *http.ResponseController
+	events  int
+	// broken is set when the caller can't be written to any more.
+	broken bool
+}
+
+// forward passes on what one endpoint sends.
+func (s *relay) forward(ctx context.Context, grant *dispatch.Grant, answer *upstream.Answer) result {
+	j := s.job
+	if !answer.Reply.Sealed {
+		answer.Close(false)
+		grant.End(dispatch.Failed)
+		return result{end: lost, cause: &upstream.GarbledError{Reason: "a stream that the endpoint does not vouch for"}}
+	}
+	events := upstream.NewEventReader(answer.Body)
+	err := s.copy(grant, answer, events)
+	answer.Close(errors.Is(err, io.EOF))
+	if s.broken {
+		grant.End(dispatch.Cancelled)
+		j.outcome, j.detail = string(usher.OutcomeUnknown), "the caller stopped to read"
+		panic(http.ErrAbortHandler)
+	}
+	if !errors.Is(err, io.EOF) {
+		grant.End(endAfter(ctx, dispatch.Failed))
+		return result{end: lost, cause: err}
+	}
+	grant.End(dispatch.Answered)
+	if !s.started {
+		// A stream without events is an answer like any other.
+		s.begin(answer)
+	}
+	j.outcome = string(usher.OutcomeRan)
+	return result{end: delivered}
+}
+
+// copy passes events on until the stream ends, and returns why it ended. io.EOF
+// is the end of a whole stream.
+func (s *relay) copy(grant *dispatch.Grant, answer *upstream.Answer, events *upstream.EventReader) error {
+	j := s.job
+	patience := j.firstPatience()
+	unreported := 0
+	for n := 0; ; n++ {
+		if !events.Pending() {
+			answer.SetReadDeadline(s.readBy(patience))
+		}
+		event, err := events.Next()
+		if err != nil {
+			grant.Events(unreported)
+			return err
+		}
+		if n == 0 {
+			grant.First()
+			patience = max(leastStall, stallFactor*j.route.GapTarget)
+		} else if unreported++; unreported == eventsPerReport {
+			grant.Events(unreported)
+			unreported = 0
+		}
+		s.begin(answer)
+		s.events++
+		if _, err := j.writer.Write(event.Raw); err != nil {
+			s.broken = true
+			return err
+		}
+		s.lastID = event.ID
+		if events.Pending() {
+			continue
+		}
+		if err := s.control.Flush(); err != nil {
+			s.broken = true
+			return err
+		}
+	}
+}
+
+// readBy returns until when the next event is waited for. Only where the stream
+// can go on elsewhere is a pause a reason to give an endpoint up.
+func (s *relay) readBy(patience time.Duration) time.Time {
+	j := s.job
+	if j.route.Idempotent() && j.attempts < j.route.MaxAttempts {
+		return time.Now().Add(patience)
+	}
+	return time.Time{}
+}
+
+// begin writes the head of the first endpoint's answer.
+func (s *relay) begin(answer *upstream.Answer) {
+	if s.started {
+		return
+	}
+	j := s.job
+	s.started = true
+	s.control = http.NewResponseController(j.writer)
+	_ = s.control.SetWriteDeadline(j.deadline.Add(writeMargin))
+	j.first = time.Since(j.arrived)
+	j.status = answer.Status
+	header := j.writer.Header()
+	for name, values := range j.gateway.Dialect.Deliver(answer.Header) {
+		header[name] = values
+	}
+	j.writer.WriteHeader(answer.Status)
+}
+
+// stalled says whether the cause of a loss is that nothing came for too long.
+func stalled(cause error) bool { return errors.Is(cause, os.ErrDeadlineExceeded) }
