--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -237,7 +237,7 @@
 	}
 	g := j.gateway
 	cost := quota.Cost(j.workspace, &j.head)
-	decide := g.Quota.Check
+	decide := g.Quota.Ask
 	if charge {
 		decide = g.Quota.Take
 	}
@@ -249,8 +249,7 @@
 	g.metrics.overQuota.Add(1)
 	if g.lines.allow() {
 		g.Log.Info().Str("request", string(j.head.ID)).Str("workspace", string(j.workspace.Name)).
-			Float64("cost", cost).Float64("own", d.Own).Float64("others", d.Others).Float64("limit", d.Limit).
-			Int("silent", d.Silent).Msg("overQuota")
+			Float64("cost", cost).Float64("part", d.Part).Float64("level", d.Level).Int("silent", d.Silent).Msg("overQuota")
 	}
 	return usher.NewRefusal(usher.RefusalLimited, "the workspace's quota is used up").WithRetryAfter(d.Wait)
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -1,6 +1,6 @@
 // Package peering lets the instances that serve callers tell one another what
 // each alone can't know: what is under way at the endpoints, what workspaces
-// have used, which requests crash endpoints, and how fresh the configuration
+// ask for, which requests crash endpoints, and how fresh the configuration
 // is. Everything here makes decisions better or keeps them possible while the
 // store is away; without it an instance falls back to its own equal share.
 package peering
@@ -57,7 +57,7 @@
 	// RosterRevision is the store's revision of its view of the endpoints.
 	RosterRevision usher.Version
 	Loads          map[usher.EndpointName]dispatch.Load
-	Used           quota.Use
+	Demand         quota.Demand
 	Suspects       []suspect.Suspect
 }
 
@@ -198,13 +198,13 @@
 		Name: p.self.Name, Incarnation: p.self.Incarnation, Address: p.self.Address,
 		Version: p.parts.Routes.Version(), ProofAge: p.parts.Routes.Age(),
 		RosterRevision: p.parts.Roster.Snapshot().Revision,
-		Loads:          p.parts.Scheduler.Loads(), Used: p.parts.Quota.Used(), Suspects: p.parts.Suspects.Shared(),
+		Loads:          p.parts.Scheduler.Loads(), Demand: p.parts.Quota.Demand(), Suspects: p.parts.Suspects.Shared(),
 	}
 }
 
 // learn takes in the part of the news that holds whenever it was sent.
 func (p *Peering) learn(news *News) {
-	p.parts.Quota.Heard(news.Name, news.Used)
+	p.parts.Quota.Heard(news.Name, news.Demand)
 	p.parts.Scheduler.Heard(news.Name, news.Loads)
 	p.parts.Suspects.Learn(news.Suspects)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,12 +1,19 @@
 // Package quota holds workspaces to what they may use, over all instances.
 //
-// Each process counts what it lets through in a sliding window and tells the
-// others. What the others use is subtracted from the limit; an instance that
-// has fallen silent is taken to use its equal share, so that instances that
-// can't hear one another stay below the limit together.
+// A workspace's quota is a bucket that fills at its rate up to its burst. Each
+// instance holds a part of the bucket and asks nobody when it takes from it:
+//
+//	part = evenShare/members + (1-evenShare) * own demand / demand of all
+//
+// Demand travels on the news between instances. An instance that has fallen
+// silent keeps an equal part, so that instances that can't hear one another
+// stay below the quota together. A process that may follow others starts with
+// an empty bucket: what those let through before, and what it lets through
+// after, then fit into one window without anything that is remembered.
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -14,53 +21,62 @@
 )
 
 const (
-	// buckets is into how many parts the window is divided.
-	buckets = 32
-	// silentAfter is how old news of another instance may be before its equal
-	// share takes the place of what it told.
+	// evenShare is the part of a quota that is divided evenly whatever the
+	// demand is, so that a workspace's first requests at an instance fit.
+	evenShare = 0.15
+	// demandMemory is the time constant with which demand is followed.
+	demandMemory = 1500 * time.Millisecond
+	// silentAfter is how old news of another instance may be before it counts
+	// as silent.
 	silentAfter = 1200 * time.Millisecond
-	// reserve is the part of the limit by which the sum may pass it, and stays
-	// below the tolerance of the rules.
-	reserve = 0.04
+	// rateReserve and slackReserve are the parts of the rules' tolerance that
+	// are used. The rest covers parts that don't add up while demand moves.
+	rateReserve  = 0.04
+	slackReserve = 0.4
+	// assumedMembers is how many instances there are taken to be until the
+	// directory tells.
+	assumedMembers = 8
 )
 
-// Use is what one instance has let through of one workspace within the window.
-type Use map[usher.WorkspaceName]float64
+// Demand is what callers ask of one instance, a second, by workspace.
+type Demand map[usher.WorkspaceName]float64
+
+// Rules are the tolerance beyond rate and burst.
+type Rules struct {
+	Slack float64
+}
 
 // Quota is the state of one process. It is safe for concurrent use.
 type Quota struct {
-	mu      sync.Mutex
-	now     func() time.Time
-	window  time.Duration
-	started time.Time
-	// inherited is set where predecessors of this process may have used up the
-	// window before it began.
-	inherited bool
-	members   int
-	used      map[usher.WorkspaceName]*sliding
-	peers     map[string]peerUse
-}
-
-type peerUse struct {
-	use  Use
-	seen time.Time
-}
-
-// sliding counts in buckets of a window's part each.
-type sliding struct {
-	counts [buckets]float64
-	sum    float64
-	// at is the number of the newest bucket.
-	at int64
-}
-
-// New returns a quota with nothing used. inherited says that the process may
-// follow others whose use it can't know.
-func New(window time.Duration, inherited bool, now func() time.Time) *Quota {
+	mu       sync.Mutex
+	now      func() time.Time
+	rules    Rules
+	fresh    bool
+	members  int
+	accounts map[usher.WorkspaceName]*account
+	peers    map[string]peerDemand
+}
+
+type peerDemand struct {
+	demand Demand
+	seen   time.Time
+}
+
+// account is this instance's part of one workspace's bucket.
+type account struct {
+	level  float64
+	filled time.Time
+	// demand is a second's worth, as of measured.
+	demand   float64
+	measured time.Time
+}
+
+// New returns a quota with nothing used. fresh says that no other process
+// served before this one.
+func New(rules Rules, fresh bool, now func() time.Time) *Quota {
 	return &Quota{
-		now: now, window: window, started: now(), inherited: inherited, members: 1,
-		used:  make(map[usher.WorkspaceName]*sliding),
-		peers: make(map[string]peerUse),
+		now: now, rules: rules, fresh: fresh, members: assumedMembers,
+		accounts: make(map[usher.WorkspaceName]*account), peers: make(map[string]peerDemand),
 	}
 }
 
@@ -71,11 +87,11 @@
 	q.members = max(1, members)
 }
 
-// Heard takes in what another instance has used.
-func (q *Quota) Heard(instance string, use Use) {
+// Heard takes in the demand at another instance.
+func (q *Quota) Heard(instance string, demand Demand) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.peers[instance] = peerUse{use: use, seen: q.now()}
+	q.peers[instance] = peerDemand{demand: demand, seen: q.now()}
 }
 
 // Forget drops an instance that is no longer a member.
@@ -85,29 +101,29 @@
 	delete(q.peers, instance)
 }
 
-// Used returns what this process has let through within the window.
-func (q *Quota) Used() Use {
+// Demand returns what callers ask of this instance.
+func (q *Quota) Demand() Demand {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	use := make(Use, len(q.used))
-	for name, s := range q.used {
-		s.advance(q.bucket())
-		if s.sum > 0 {
-			use[name] = s.sum
+	now := q.now()
+	demand := make(Demand, len(q.accounts))
+	for name, a := range q.accounts {
+		if d := a.demandNow(now); d > 1 {
+			demand[name] = d
 		}
 	}
-	return use
+	return demand
 }
 
 // Decision is the outcome of Take with its inputs.
 type Decision struct {
 	Allowed bool
-	// Own and Others are what is used already, Limit what may be.
-	Own, Others, Limit float64
+	// Part is this instance's part of the quota, Level what is in its bucket.
+	Part, Level float64
+	// Silent is how many instances were taken to use their equal part.
+	Silent int
 	// Wait is after what time the request should fit.
 	Wait time.Duration
-	// Silent is how many instances were charged their equal share.
-	Silent int
 }
 
 // Cost returns what a request counts for in the workspace's quota.
@@ -122,88 +138,97 @@
 	}
 }
 
-// Take charges a request to the workspace if its quota allows it.
-func (q *Quota) Take(workspace *usher.WorkspaceSpec, cost float64) Decision {
-	return q.decide(workspace, cost, true)
-}
-
-// Check says what Take would.
-func (q *Quota) Check(workspace *usher.WorkspaceSpec, cost float64) Decision {
-	return q.decide(workspace, cost, false)
+// Ask notes that a caller asks for a request, and says whether it fits now.
+func (q *Quota) Ask(workspace *usher.WorkspaceSpec, cost float64) Decision {
+	if workspace.Rate <= 0 {
+		return Decision{Allowed: true}
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.account(workspace.Name).ask(cost, q.now())
+	d, _ := q.decide(workspace, cost)
+	return d
 }
 
-func (q *Quota) decide(workspace *usher.WorkspaceSpec, cost float64, charge bool) Decision {
+// Take charges a request to the workspace if it fits.
+func (q *Quota) Take(workspace *usher.WorkspaceSpec, cost float64) Decision {
 	if workspace.Rate <= 0 {
 		return Decision{Allowed: true}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	s := q.used[workspace.Name]
-	if s == nil {
-		s = &sliding{at: q.bucket()}
-		q.used[workspace.Name] = s
-	}
-	s.advance(q.bucket())
-	d := Decision{Own: s.sum, Limit: (workspace.Rate*q.window.Seconds() + workspace.Burst) * (1 + reserve)}
-	d.Others, d.Silent = q.others(workspace.Name, d.Limit)
-	d.Others += q.before(d.Limit)
-	d.Allowed = d.Own+d.Others+cost <= d.Limit
-	if d.Allowed && charge {
-		s.add(cost)
-	}
-	if !d.Allowed {
-		over := d.Own + d.Others + cost - d.Limit
-		d.Wait = time.Duration(over / workspace.Rate * float64(time.Second))
+	d, a := q.decide(workspace, cost)
+	if d.Allowed {
+		a.level -= cost
 	}
 	return d
 }
 
-// others returns what the other instances are taken to use.
-func (q *Quota) others(workspace usher.WorkspaceName, limit float64) (float64, int) {
-	share := limit / float64(q.members)
-	sum, heard := 0.0, 0
+func (q *Quota) decide(workspace *usher.WorkspaceSpec, cost float64) (Decision, *account) {
 	now := q.now()
+	a := q.account(workspace.Name)
+	d := Decision{}
+	d.Part, d.Silent = q.part(workspace.Name, a, now)
+	rate := workspace.Rate * (1 + rateReserve) * d.Part
+	most := (workspace.Burst + slackReserve*q.rules.Slack) * d.Part
+	a.fill(rate, most, now)
+	d.Level = a.level
+	// A request that is larger than the whole part fits into a full one and
+	// overdraws it; what it owes is paid back before the next.
+	need := min(cost, most)
+	d.Allowed = a.level >= need
+	if !d.Allowed {
+		d.Wait = time.Duration((need - a.level) / math.Max(rate, 1) * float64(time.Second))
+	}
+	return d, a
+}
+
+// part returns the part of the workspace's quota that belongs to this instance.
+func (q *Quota) part(workspace usher.WorkspaceName, a *account, now time.Time) (float64, int) {
+	heard, others := 0, 0.0
 	for _, peer := range q.peers {
 		if now.Sub(peer.seen) > silentAfter {
 			continue
 		}
 		heard++
-		sum += peer.use[workspace]
+		others += peer.demand[workspace]
 	}
-	silent := max(0, q.members-1-heard)
-	return sum + float64(silent)*share, silent
+	members := float64(max(q.members, heard+1))
+	silent := int(members) - 1 - heard
+	// What is not set aside for silent instances is divided among the rest.
+	pool := 1 - float64(silent)/members
+	own := a.demandNow(now)
+	wanted := 1 / float64(heard+1)
+	if own+others > 0 {
+		wanted = own / (own + others)
+	}
+	return evenShare/members + (pool-evenShare*float64(heard+1)/members)*wanted, silent
 }
 
-// before returns what predecessors of this process may have used within the
-// window: the process's equal share, which leaves the window evenly.
-func (q *Quota) before(limit float64) float64 {
-	if !q.inherited {
-		return 0
+func (q *Quota) account(workspace usher.WorkspaceName) *account {
+	a := q.accounts[workspace]
+	if a == nil {
+		now := q.now()
+		a = &account{filled: now, measured: now}
+		if q.fresh {
+			// fill cuts it down to the part's size.
+			a.level = math.MaxFloat64
+		}
+		q.accounts[workspace] = a
 	}
-	left := 1 - q.now().Sub(q.started).Seconds()/q.window.Seconds()
-	return max(0, left) * limit / float64(q.members) * predecessorUse
+	return a
 }
 
-// predecessorUse is the part of its share that a process is taken to have used
-// before it was replaced. Quotas are usually sized well above the demand.
-const predecessorUse = 0.7
-
-func (q *Quota) bucket() int64 { return q.now().UnixNano() / int64(q.window/buckets) }
+func (a *account) fill(rate, most float64, now time.Time) {
+	a.level = min(most, a.level+rate*now.Sub(a.filled).Seconds())
+	a.filled = now
+}
 
-func (s *sliding) advance(to int64) {
-	if to-s.at >= buckets {
-		*s = sliding{at: to}
-		return
-	}
-	for s.at < to {
-		s.at++
-		slot := &s.counts[s.at%buckets]
-		s.sum -= *slot
-		*slot = 0
-	}
+func (a *account) ask(cost float64, now time.Time) {
+	a.demand = a.demandNow(now) + cost/demandMemory.Seconds()
+	a.measured = now
 }
 
-func (s *sliding) add(cost float64) {
-	s.counts[s.at%buckets] += cost
-	s.sum += cost
+func (a *account) demandNow(now time.Time) float64 {
+	return a.demand * math.Exp(-now.Sub(a.measured).Seconds()/demandMemory.Seconds())
 }
