Quotas: one bucket that every instance sees through the news of the others

Cause: a divided bucket refused long requests that were within the quota, and a rolling restart emptied all views.

Change: global level by cumulative counters on the news; a round's part by demand; a process that starts takes the level over from one that knows it.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -129,7 +129,9 @@
 	})
 	p.scheduler = dispatch.New(dispatch.Options{Zone: s.Zone, Self: s.Name})
 	p.pool = upstream.New(platform.Dialect{})
-	p.quota = quota.New(quota.Rules{Slack: s.Bounds.QuotaSlack}, s.Fresh, time.Now)
+	p.quota = quota.New(quota.Rules{
+		Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack,
+	}, self.Incarnation, s.Fresh, time.Now)
 	p.budget = budget.New(budgetRules(s), time.Now)
 	p.suspects = suspect.NewTable()
 	client := platform.NewClient(func() string { return p.settings.Load().Store })
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -113,6 +113,11 @@
 				since = 0
 				continue
 			}
+			if missing := new(usher.NotFoundError); errors.As(err, &missing) {
+				// The store works; nobody has written a configuration yet.
+				retry.wait(ctx)
+				continue
+			}
 			f.store.failed(ctx, "routes", err)
 			since = f.listAgain(since, &retry)
 			retry.wait(ctx)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,15 +1,19 @@
 // Package quota holds workspaces to what they may use, over all instances.
 //
-// A workspace's quota is a bucket that fills at its rate up to its burst. Each
-// instance holds a part of the bucket and asks nobody when it takes from it:
+// A workspace's quota is one bucket that fills at its rate up to a size. Each
+// instance keeps its own view of the bucket: it takes out what it lets through
+// at once, and what the others let through when their news arrive.
 //
-//	part = evenShare/members + (1-evenShare) * own demand / demand of all
+//	level = min(size, level + rate*time) - own use - news of others' use
 //
-// Demand travels on the news between instances. An instance that has fallen
-// silent keeps an equal part, so that instances that can't hear one another
-// stay below the quota together. A process that may follow others starts with
-// an empty bucket: what those let through before, and what it lets through
-// after, then fit into one window without anything that is remembered.
+// Between two rounds of news all instances could take the same tokens, so each
+// takes no more in a round than its part of the level by demand. An instance
+// that has fallen silent is left an equal part of the rate.
+//
+// A process that may follow others starts with an empty bucket. What those let
+// through before and what it lets through after then fit into one window of
+// the rules, without anything that has to be remembered. Where others have seen
+// the whole window, it takes over the level that they know instead.
 package quota
 
 import (
@@ -21,29 +25,54 @@
 )
 
 const (
-	// evenShare is the part of a quota that is divided evenly whatever the
-	// demand is, so that a workspace's first requests at an instance fit.
-	evenShare = 0.15
 	// demandMemory is the time constant with which demand is followed.
 	demandMemory = 1500 * time.Millisecond
 	// silentAfter is how old news of another instance may be before it counts
 	// as silent.
 	silentAfter = 1200 * time.Millisecond
-	// rateReserve and slackReserve are the parts of the rules' tolerance that
-	// are used. The rest covers parts that don't add up while demand moves.
-	rateReserve  = 0.04
-	slackReserve = 0.4
+	// toleranceShare is the part of the rules' tolerance by which the bucket is
+	// larger than the burst. The rest covers news that are under way.
+	toleranceShare = 0.65
+	// evenPart is added to an instance's part by demand, so that the first
+	// requests of a workspace at an instance fit.
+	evenPart = 0.15
+	// partFactor is by how much the parts of a round may add up to more than
+	// the level; what is passed in one round is missing in the next.
+	partFactor = 1.5
+	// amplePart is the part of a full bucket above which no round of all
+	// instances can empty it, so that parts are not kept to.
+	amplePart = 0.35
+	// round is how often news arrive while there are few instances.
+	round = 100 * time.Millisecond
+	// learningTime is for how long after its start a process takes over what the
+	// others know.
+	learningTime = time.Second
 	// assumedMembers is how many instances there are taken to be until the
 	// directory tells.
 	assumedMembers = 8
 )
 
-// Demand is what callers ask of one instance, a second, by workspace.
-type Demand map[usher.WorkspaceName]float64
+// Used is what an instance has let through since it started, by workspace.
+type Used map[usher.WorkspaceName]float64
+
+// News is what an instance tells the others.
+type News struct {
+	// Used only grows as long as the incarnation stays.
+	Incarnation usher.Incarnation
+	Used        Used
+	// Demand is what callers ask for a second.
+	Demand Used
+	// Level is what is in the buckets, from an instance that has seen a whole
+	// window; otherwise nil.
+	Level Used
+}
 
-// Rules are the tolerance beyond rate and burst.
+// Rules are by how much the sum over all instances may pass a quota in any
+// window: in all (Rate*Window + Burst) * (1 + Overage) + Slack.
 type Rules struct {
-	Slack float64
+	Window  time.Duration
+	Overage float64
+	Slack   float64
 }
 
 // Quota is the state of one process. It is safe for concurrent use.
@@ -51,32 +80,42 @@
 	mu       sync.Mutex
 	now      func() time.Time
 	rules    Rules
+	self     usher.Incarnation
 	fresh    bool
+	started  time.Time
+	// informed is set once another instance has told its levels.
+	informed bool
 	members  int
 	accounts map[usher.WorkspaceName]*account
-	peers    map[string]peerDemand
+	peers    map[string]*peer
 }
 
-type peerDemand struct {
-	demand Demand
-	seen   time.Time
+// peer is what is known of another instance.
+type peer struct {
+	news News
+	seen time.Time
 }
 
-// account is this instance's part of one workspace's bucket.
+// account is this instance's view of one workspace's bucket.
 type account struct {
 	level  float64
 	filled time.Time
+	used   float64
 	// demand is a second's worth, as of measured.
 	demand   float64
 	measured time.Time
+	// began is when the round began, allowance what may be taken in it.
+	began     time.Time
+	allowance float64
+	taken     float64
 }
 
 // New returns a quota with nothing used. fresh says that no other process
 // served before this one.
-func New(rules Rules, fresh bool, now func() time.Time) *Quota {
+func New(rules Rules, self usher.Incarnation, fresh bool, now func() time.Time) *Quota {
 	return &Quota{
-		now: now, rules: rules, fresh: fresh, members: assumedMembers,
-		accounts: make(map[usher.WorkspaceName]*account), peers: make(map[string]peerDemand),
+		now: now, rules: rules, self: self, fresh: fresh, started: now(), members: assumedMembers,
+		accounts: make(map[usher.WorkspaceName]*account), peers: make(map[string]*peer),
 	}
 }
 
@@ -87,11 +126,48 @@
 	q.members = max(1, members)
 }
 
-// Heard takes in the demand at another instance.
-func (q *Quota) Heard(instance string, demand Demand) {
+// Heard takes in the news of another instance.
+func (q *Quota) Heard(instance string, news News) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.peers[instance] = peerDemand{demand: demand, seen: q.now()}
+	known := q.peers[instance]
+	if known == nil {
+		known = &peer{}
+		q.peers[instance] = known
+	}
+	before := known.news.Used
+	if known.news.Incarnation != news.Incarnation {
+		before = nil
+	}
+	for workspace, used := range news.Used {
+		// News may overtake one another.
+		if more := used - before[workspace]; more > 0 {
+			q.account(workspace).level -= more
+		} else if more < 0 {
+			news.Used[workspace] = before[workspace]
+		}
+	}
+	known.news, known.seen = news, q.now()
+	if !q.fresh && q.now().Sub(q.started) < learningTime {
+		q.takeOver(news.Level)
+	}
+}
+
+// takeOver raises levels to what an instance knows that was there before this
+// one. It can't have heard of the last few requests of this process; those are
+// few in a process that has just started.
+func (q *Quota) takeOver(levels Used) {
+	for workspace, level := range levels {
+		q.informed = true
+		a := q.account(workspace)
+		a.level = max(a.level, level)
+	}
+}
+
+// experienced says whether this process knows what was let through in the last
+// window.
+func (q *Quota) experienced() bool {
+	return q.fresh || q.informed || q.now().Sub(q.started) > q.rules.Window
 }
 
 // Forget drops an instance that is no longer a member.
@@ -101,26 +177,36 @@
 	delete(q.peers, instance)
 }
 
-// Demand returns what callers ask of this instance.
-func (q *Quota) Demand() Demand {
+// News returns what the others should know.
+func (q *Quota) News() News {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	demand := make(Demand, len(q.accounts))
+	news := News{Incarnation: q.self, Used: make(Used, len(q.accounts)), Demand: make(Used, len(q.accounts))}
+	if q.experienced() {
+		news.Level = make(Used, len(q.accounts))
+		for name, a := range q.accounts {
+			news.Level[name] = math.Round(min(a.level, math.MaxInt32))
+		}
+	}
 	for name, a := range q.accounts {
-		if d := a.demandNow(now); d > 1 {
-			demand[name] = d
+		if a.used > 0 {
+			news.Used[name] = math.Round(a.used)
+		}
+		if d := math.Round(a.demandNow(now)); d > 0 {
+			news.Demand[name] = d
 		}
 	}
-	return demand
+	return news
 }
 
 // Decision is the outcome of Take with its inputs.
 type Decision struct {
 	Allowed bool
-	// Part is this instance's part of the quota, Level what is in its bucket.
-	Part, Level float64
-	// Silent is how many instances were taken to use their equal part.
+	// Level is what is in the bucket by this instance's view, Allowance what it
+	// may take of it in this round, and Taken what it has.
+	Level, Allowance, Taken float64
+	// Silent is how many instances were left an equal part.
 	Silent int
 	// Wait is after what time the request should fit.
 	Wait time.Duration
@@ -160,6 +246,8 @@
 	d, a := q.decide(workspace, cost)
 	if d.Allowed {
 		a.level -= cost
+		a.used += cost
+		a.taken += cost
 	}
 	return d
 }
@@ -167,42 +255,43 @@
 func (q *Quota) decide(workspace *usher.WorkspaceSpec, cost float64) (Decision, *account) {
 	now := q.now()
 	a := q.account(workspace.Name)
-	d := Decision{}
-	d.Part, d.Silent = q.part(workspace.Name, a, now)
-	rate := workspace.Rate * (1 + rateReserve) * d.Part
-	most := (workspace.Burst + slackReserve*q.rules.Slack) * d.Part
-	a.fill(rate, most, now)
-	d.Level = a.level
-	// A request that is larger than the whole part fits into a full one and
-	// overdraws it; what it owes is paid back before the next.
-	need := min(cost, most)
-	d.Allowed = a.level >= need
+	heard, others := q.others(workspace.Name, now)
+	members := max(q.members, heard+1)
+	d := Decision{Silent: members - 1 - heard}
+	reach := float64(heard+1) / float64(members)
+	rate, size := workspace.Rate*reach, q.size(workspace)*reach
+	a.fill(rate, size, now)
+	a.turn(now, others, heard, round*time.Duration((members+3)/4))
+	d.Level, d.Allowance, d.Taken = a.level, a.allowance, a.taken
+	// A request larger than the bucket fits into a full one and overdraws it.
+	need := min(cost, size)
+	inPart := a.taken+cost <= a.allowance || a.taken == 0 || a.level > amplePart*size
+	d.Allowed = a.level >= need && inPart
 	if !d.Allowed {
-		d.Wait = time.Duration((need - a.level) / math.Max(rate, 1) * float64(time.Second))
+		d.Wait = max(round, time.Duration((need-a.level)/math.Max(rate, 1)*float64(time.Second)))
 	}
 	return d, a
 }
 
-// part returns the part of the workspace's quota that belongs to this instance.
-func (q *Quota) part(workspace usher.WorkspaceName, a *account, now time.Time) (float64, int) {
-	heard, others := 0, 0.0
-	for _, peer := range q.peers {
-		if now.Sub(peer.seen) > silentAfter {
+// size is how much a full bucket holds.
+func (q *Quota) size(workspace *usher.WorkspaceSpec) float64 {
+	tolerance := q.rules.Overage*(workspace.Rate*q.rules.Window.Seconds()+workspace.Burst) + q.rules.Slack
+	if !workspace.CountsTokens {
+		tolerance = q.rules.Overage * (workspace.Rate*q.rules.Window.Seconds() + workspace.Burst)
+	}
+	return workspace.Burst + toleranceShare*tolerance
+}
+
+// others returns how many instances are heard and what is asked of them.
+func (q *Quota) others(workspace usher.WorkspaceName, now time.Time) (heard int, demand float64) {
+	for _, known := range q.peers {
+		if now.Sub(known.seen) > silentAfter {
 			continue
 		}
 		heard++
-		others += peer.demand[workspace]
-	}
-	members := float64(max(q.members, heard+1))
-	silent := int(members) - 1 - heard
-	// What is not set aside for silent instances is divided among the rest.
-	pool := 1 - float64(silent)/members
-	own := a.demandNow(now)
-	wanted := 1 / float64(heard+1)
-	if own+others > 0 {
-		wanted = own / (own + others)
+		demand += known.news.Demand[workspace]
 	}
-	return evenShare/members + (pool-evenShare*float64(heard+1)/members)*wanted, silent
+	return heard, demand
 }
 
 func (q *Quota) account(workspace usher.WorkspaceName) *account {
@@ -211,7 +300,7 @@
 		now := q.now()
 		a = &account{filled: now, measured: now}
 		if q.fresh {
-			// fill cuts it down to the part's size.
+			// fill cuts it down to the bucket's size.
 			a.level = math.MaxFloat64
 		}
 		q.accounts[workspace] = a
@@ -219,11 +308,24 @@
 	return a
 }
 
-func (a *account) fill(rate, most float64, now time.Time) {
-	a.level = min(most, a.level+rate*now.Sub(a.filled).Seconds())
+func (a *account) fill(rate, size float64, now time.Time) {
+	a.level = min(size, a.level+rate*now.Sub(a.filled).Seconds())
 	a.filled = now
 }
 
+// turn begins a new round when the last one is over.
+func (a *account) turn(now time.Time, others float64, heard int, length time.Duration) {
+	if now.Sub(a.began) < length {
+		return
+	}
+	a.began, a.taken = now, 0
+	part := 1.0
+	if own := a.demandNow(now); heard > 0 && own+others > 0 {
+		part = min(1, evenPart+partFactor*own/(own+others))
+	}
+	a.allowance = max(0, a.level*part)
+}
+
 func (a *account) ask(cost float64, now time.Time) {
 	a.demand = a.demandNow(now) + cost/demandMemory.Seconds()
 	a.measured = now
