Order what waits by the workspace's rank, then the route's

Change: two-part rank; patience until the quickest engine could still begin in time; the estimate of a wait counts what more urgent ranks will take.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -76,8 +76,10 @@
 	engines map[usher.EndpointName]*engine
 	line    line
 	drain   rate
-	prefix  *prefixes
-	counts  counts
+	// arrivals are how many requests of each rank come.
+	arrivals [ranks]rate
+	prefix   *prefixes
+	counts   counts
 }
 
 // counts are for the metrics.
@@ -135,6 +137,7 @@
 func (s *Scheduler) enter(w *waiter, now time.Time) {
 	v := s.service(w.ask.Service)
 	w.entered = now
+	v.arrivals[rankOf(w)].note(now)
 	if len(v.engines) == 0 {
 		w.patience = now.Add(absentPatience)
 	} else {
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"math"
 	"slices"
 	"time"
 
@@ -11,9 +12,11 @@
 const (
 	// absentPatience is how long requests wait while a service has no endpoint.
 	absentPatience = 250 * time.Millisecond
-	// patienceShare is the part of the time to the target that a request waits.
-	// The rest is what an engine needs to begin its answer.
-	patienceShare = 0.6
+	// mostBegin is the part of the time to the target that is kept for an engine
+	// to begin its answer, at most, and beginMargin by how much more than the
+	// expected time is kept.
+	mostBegin   = 0.5
+	beginMargin = 1.3
 	// latePatience is how long a request waits whose target has passed, such as
 	// the rest of a stream that broke off.
 	latePatience = 600 * time.Millisecond
@@ -23,10 +26,10 @@
 	// for sound.
 	sureRefusals = 6
 	// ranks is how many ranks are told apart; all above are one.
-	ranks = 4
-	// turn is the part of the grants to more urgent requests after which a rank
-	// gets one itself, so that no rank starves.
-	turn = 0.15
+	ranks = 16
+	// turns is how many grants all ranks that are overtaken get together for
+	// each grant to a more urgent one, so that no rank starves.
+	turns = 0.2
 )
 
 // waiter is a request that waits.
@@ -118,16 +121,22 @@
 	return -1
 }
 
-// granted notes that a request was served, and gives those that it overtook a
-// part of a turn.
+// granted notes that a request was served, and divides a part of a turn among
+// the ranks that it overtook.
 func (l *line) granted(w *waiter) {
 	served := rankOf(w)
 	if l.credit[served] >= 1 {
 		l.credit[served]--
 	}
+	overtaken := 0
 	for rank := served + 1; rank < ranks; rank++ {
 		if len(l.byRank[rank]) > 0 {
-			l.credit[rank] = min(2, l.credit[rank]+turn)
+			overtaken++
+		}
+	}
+	for rank := served + 1; rank < ranks; rank++ {
+		if len(l.byRank[rank]) > 0 {
+			l.credit[rank] = min(2, l.credit[rank]+turns/float64(overtaken))
 		}
 	}
 }
@@ -145,11 +154,13 @@
 	return late
 }
 
-// patience returns until when a request waits.
-func (s *Scheduler) patience(_ *service, ask *Ask, now time.Time) time.Time {
+// patience returns until when a request waits: as long as an engine could still
+// begin its answer in time.
+func (s *Scheduler) patience(v *service, ask *Ask, now time.Time) time.Time {
 	until := now.Add(latePatience)
 	if ask.Target.After(now) {
-		until = ask.Arrived.Add(time.Duration(float64(ask.Target.Sub(ask.Arrived)) * patienceShare))
+		span := ask.Target.Sub(ask.Arrived)
+		until = ask.Target.Add(-min(time.Duration(float64(span)*mostBegin), s.quickest(v, ask, now)))
 	}
 	if ask.Deadline.Before(until) {
 		until = ask.Deadline
@@ -157,6 +168,18 @@
 	return until
 }
 
+// quickest returns the shortest time in which any endpoint is expected to begin
+// its answer.
+func (s *Scheduler) quickest(v *service, ask *Ask, now time.Time) time.Duration {
+	quickest := time.Duration(math.MaxInt64)
+	for _, e := range v.engines {
+		if !slices.Contains(ask.Tried, e.Name) {
+			quickest = min(quickest, e.first(v, ask.Prompt, now))
+		}
+	}
+	return time.Duration(float64(quickest) * beginMargin)
+}
+
 // hopeless returns a refusal for a request that would not be served before its
 // patience ends. Refused at once, its caller loses no time.
 func (s *Scheduler) hopeless(v *service, w *waiter, now time.Time) *usher.Refusal {
@@ -164,7 +187,7 @@
 		return s.refuse(v, w.ask, now, "too many requests wait")
 	}
 	ahead := v.line.ahead(w.ask.Rank)
-	perSecond := v.drain.perSecond(now)
+	perSecond := v.left(rankOf(w), now)
 	if ahead < sureRefusals || perSecond <= 0 {
 		return nil
 	}
@@ -175,6 +198,17 @@
 	return nil
 }
 
+// left returns how many grants a second are left for a rank by those that are
+// more urgent, or 0 while too little was seen.
+func (v *service) left(rank int, now time.Time) float64 {
+	all := v.drain.perSecond(now)
+	taken := 0.0
+	for r := range rank {
+		taken += v.arrivals[r].perSecond(now)
+	}
+	return max(all*turns/2, all-taken)
+}
+
 // rate measures how many events happen a second, over the last second or so.
 type rate struct {
 	value float64
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -192,12 +192,17 @@
 	j.deadline = j.arrived.Add(wait)
 }
 
-// rank returns the urgency of the request: the workspace's, if it has one.
+// routeRanks is how many ranks of routes are told apart within a workspace's.
+const routeRanks = 4
+
+// rank returns the urgency of the request. A workspace's rank goes before the
+// route's, which orders what is equally urgent.
 func (j *job) rank() usher.Rank {
+	rank := max(0, min(j.route.Rank, routeRanks-1))
 	if j.workspace != nil && j.workspace.HasRank {
-		return j.workspace.Rank
+		rank += j.workspace.Rank * routeRanks
 	}
-	return j.route.Rank
+	return rank
 }
 
 // maxCrashes is after how many crashes of endpoints a request is not tried again.
