Quotas: a head start after a restart, and parts of the level of now

Cause: after a restart of all processes the first second refused most callers, because the buckets began empty and a round's allowance was fixed when it was.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -30,7 +30,7 @@
 	endpointsWait = 5 * time.Second
 	// endpointsPace is the least time between two watches of the endpoints,
 	// whose entries change all the time.
-	endpointsPace = 250 * time.Millisecond
+	endpointsPace = 450 * time.Millisecond
 	// announceEvery is how often an instance tells that it is there.
 	announceEvery = 3 * time.Second
 	// goneAfter is for how long another instance may fail to announce itself
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -39,6 +39,9 @@
 	// partFactor is by how much the parts of a round may add up to more than
 	// the level; what is passed in one round is missing in the next.
 	partFactor = 1.5
+	// headStart is the part of the tolerance with which the bucket of a process
+	// begins that follows others. Callers come back all at once then.
+	headStart = 0.15
 	// amplePart is the part of a full bucket above which no round of all
 	// instances can empty it, so that parts are not kept to.
 	amplePart = 0.35
@@ -104,10 +107,12 @@
 	// demand is a second's worth, as of measured.
 	demand   float64
 	measured time.Time
-	// began is when the round began, allowance what may be taken in it.
-	began     time.Time
-	allowance float64
-	taken     float64
+	// begun is set once the bucket of a process that follows others has got its
+	// head start.
+	begun bool
+	// began is when the round began, and taken what was taken in it.
+	began time.Time
+	taken float64
 }
 
 // New returns a quota with nothing used. fresh says that no other process
@@ -260,12 +265,17 @@
 	d := Decision{Silent: members - 1 - heard}
 	reach := float64(heard+1) / float64(members)
 	rate, size := workspace.Rate*reach, q.size(workspace)*reach
+	if !a.begun {
+		a.begun = true
+		a.level += headStart * q.tolerance(workspace) * reach
+	}
 	a.fill(rate, size, now)
-	a.turn(now, others, heard, round*time.Duration((members+3)/4))
-	d.Level, d.Allowance, d.Taken = a.level, a.allowance, a.taken
+	a.turn(now, round*time.Duration((members+3)/4))
+	d.Level, d.Taken = a.level, a.taken
+	d.Allowance = (max(0, a.level) + a.taken) * a.part(now, others, heard)
 	// A request larger than the bucket fits into a full one and overdraws it.
 	need := min(cost, size)
-	inPart := a.taken+cost <= a.allowance || a.taken == 0 || a.level > amplePart*size
+	inPart := a.taken+cost <= d.Allowance || a.taken == 0 || a.level > amplePart*size
 	d.Allowed = a.level >= need && inPart
 	if !d.Allowed {
 		d.Wait = max(round, time.Duration((need-a.level)/math.Max(rate, 1)*float64(time.Second)))
@@ -275,11 +285,16 @@
 
 // size is how much a full bucket holds.
 func (q *Quota) size(workspace *usher.WorkspaceSpec) float64 {
-	tolerance := q.rules.Overage*(workspace.Rate*q.rules.Window.Seconds()+workspace.Burst) + q.rules.Slack
-	if !workspace.CountsTokens {
-		tolerance = q.rules.Overage * (workspace.Rate*q.rules.Window.Seconds() + workspace.Burst)
+	return workspace.Burst + toleranceShare*q.tolerance(workspace)
+}
+
+// tolerance is by how much the rules let the quota be passed in a window.
+func (q *Quota) tolerance(workspace *usher.WorkspaceSpec) float64 {
+	tolerance := q.rules.Overage * (workspace.Rate*q.rules.Window.Seconds() + workspace.Burst)
+	if workspace.CountsTokens {
+		tolerance += q.rules.Slack
 	}
-	return workspace.Burst + toleranceShare*tolerance
+	return tolerance
 }
 
 // others returns how many instances are heard and what is asked of them.
@@ -314,16 +329,19 @@
 }
 
 // turn begins a new round when the last one is over.
-func (a *account) turn(now time.Time, others float64, heard int, length time.Duration) {
-	if now.Sub(a.began) < length {
-		return
+func (a *account) turn(now time.Time, length time.Duration) {
+	if now.Sub(a.began) >= length {
+		a.began, a.taken = now, 0
 	}
-	a.began, a.taken = now, 0
-	part := 1.0
-	if own := a.demandNow(now); heard > 0 && own+others > 0 {
-		part = min(1, evenPart+partFactor*own/(own+others))
+}
+
+// part is the part of the level that this instance may take in a round.
+func (a *account) part(now time.Time, others float64, heard int) float64 {
+	own := a.demandNow(now)
+	if heard == 0 || own+others <= 0 {
+		return 1
 	}
-	a.allowance = max(0, a.level*part)
+	return min(1, evenPart+partFactor*own/(own+others))
 }
 
 func (a *account) ask(cost float64, now time.Time) {
