--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -37,6 +37,9 @@
 	coldCost = 1.6
 	// otherZone is what a request to another availability zone takes longer.
 	otherZone = 3 * time.Millisecond
+	// lateCost is by how much an endpoint seems slower that would begin after the
+	// request's target.
+	lateCost = 2 * time.Second
 	// mostRatio bounds what is learned from one engine.
 	mostRatio = 50
 )
@@ -130,37 +133,51 @@
 	return math.Exp(-max(0, now.Sub(e.seen).Seconds()-0.5) / forgetting.Seconds())
 }
 
-// finish returns the expected time to the end of the answer.
-func (e *engine) finish(v *service, ask *Ask, zone usher.AvailabilityZone, now time.Time) time.Duration {
-	cached := v.prefix.cached(ask.Prefix, e.Name)
-	expected := e.first(v, max(0, ask.Prompt-cached), now)
-	if v.spec.Engine && v.spec.TokensPerEvent > 0 {
-		expected += time.Duration(int(ask.Answer)/v.spec.TokensPerEvent) * e.pace
-	}
-	if e.Zone != zone {
-		expected += otherZone
-	}
-	return expected
-}
-
 // best returns the endpoint with a free place that is expected to finish the
-// request first. One that would begin too late is taken only if no other place
-// is likely to do better.
+// request first. Endpoints that would begin too late come last. One that would
+// not finish before the deadline is taken only where none could: a long answer
+// in a slow engine is work for nothing, while a place in a quick one comes free.
 func (s *Scheduler) best(v *service, ask *Ask, now time.Time) *engine {
 	var best *engine
-	var bestFinish time.Duration
+	var bestCost time.Duration
+	left := ask.Deadline.Sub(now)
+	hopeful := false
 	for _, e := range v.engines {
-		if !s.room(v, e, now) || slices.Contains(ask.Tried, e.Name) {
+		if slices.Contains(ask.Tried, e.Name) {
+			continue
+		}
+		first := e.first(v, max(0, ask.Prompt-v.prefix.cached(ask.Prefix, e.Name)), now)
+		finish := first + e.rest(v, ask, s.options.Zone)
+		inTime := finish < left
+		if inTime && !hopeful {
+			hopeful, best = true, nil
+		}
+		if inTime != hopeful || !s.room(v, e, now) {
 			continue
 		}
-		finish := e.finish(v, ask, s.options.Zone, now)
-		if best == nil || finish < bestFinish {
-			best, bestFinish = e, finish
+		cost := finish
+		if ask.Target.After(now) && first > ask.Target.Sub(now) {
+			cost += lateCost
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
 		}
 	}
 	return best
 }
 
+// rest returns the expected time from the first event to the end.
+func (e *engine) rest(v *service, ask *Ask, zone usher.AvailabilityZone) time.Duration {
+	rest := time.Duration(0)
+	if v.spec.Engine && v.spec.TokensPerEvent > 0 {
+		rest = time.Duration(int(ask.Answer)/v.spec.TokensPerEvent) * e.pace
+	}
+	if e.Zone != zone {
+		rest += otherZone
+	}
+	return rest
+}
+
 // End is how a request that was sent ended.
 type End int
 
