--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -64,7 +64,9 @@
 	mu       sync.Mutex
 	members  []string
 	services map[usher.ServiceName]*service
-	peers    map[string]map[usher.EndpointName]Load
+	peers    map[string]*peer
+	// settled is when the parts of the instances were worked out.
+	settled time.Time
 	// ticking says that a goroutine looks after the requests that wait.
 	ticking bool
 }
@@ -78,8 +80,10 @@
 	drain   rate
 	// arrivals are how many requests of each rank come.
 	arrivals [ranks]rate
-	prefix   *prefixes
-	counts   counts
+	// durations are how long requests of each rank take, once granted.
+	durations [ranks]time.Duration
+	prefix    *prefixes
+	counts    counts
 }
 
 // counts are for the metrics.
@@ -100,7 +104,7 @@
 	return &Scheduler{
 		options: options, members: []string{options.Self},
 		services: make(map[usher.ServiceName]*service),
-		peers:    make(map[string]map[usher.EndpointName]Load),
+		peers:    make(map[string]*peer),
 	}
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -47,10 +47,13 @@
 // engine is what is known of one endpoint.
 type engine struct {
 	usher.Registration
-	own      Load
-	others   Load
-	unheard  map[*Grant]struct{}
+	own     Load
+	others  Load
+	unheard map[*Grant]struct{}
+	// entitled is how many places belong to this instance; order is that of the
+	// members for rounding.
 	entitled int
+	order    []int
 
 	// ratio is how much longer first events take than the model says, and pace
 	// the time between events; both follow what was seen.
@@ -206,6 +209,7 @@
 	scheduler *Scheduler
 	service   *service
 	engine    *engine
+	rank      int
 	prompt    usher.Tokens
 	sent      time.Time
 	expected  time.Duration
@@ -219,7 +223,7 @@
 	tokens := max(0, ask.Prompt-v.prefix.cached(ask.Prefix, e.Name))
 	g := &Grant{
 		Endpoint: e.Registration, Expected: e.first(v, tokens, now), Running: e.own.Running + e.others.Running,
-		scheduler: s, service: v, engine: e, prompt: tokens, sent: now,
+		scheduler: s, service: v, engine: e, rank: clampRank(ask.Rank), prompt: tokens, sent: now,
 	}
 	g.expected = g.Expected
 	e.own.Running++
@@ -289,6 +293,9 @@
 		g.hear()
 	}
 	e.own.Running--
+	if how == Answered {
+		g.service.lasted(g.rank, now.Sub(g.sent))
+	}
 	switch how {
 	case Failed:
 		e.failing = e.failingNow(now) + (1-e.failingNow(now))*learning
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -60,7 +60,9 @@
 	count  int
 }
 
-func rankOf(w *waiter) int { return int(max(0, min(w.ask.Rank, ranks-1))) }
+func rankOf(w *waiter) int { return clampRank(w.ask.Rank) }
+
+func clampRank(rank usher.Rank) int { return int(max(0, min(rank, ranks-1))) }
 
 func (l *line) len() int { return l.count }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -56,7 +56,7 @@
 	ProofAge time.Duration
 	// RosterRevision is the store's revision of its view of the endpoints.
 	RosterRevision usher.Version
-	Loads          map[usher.EndpointName]dispatch.Load
+	Dispatch       dispatch.News
 	Quota          quota.News
 	Suspects       []suspect.Suspect
 }
@@ -198,14 +198,14 @@
 		Name: p.self.Name, Incarnation: p.self.Incarnation, Address: p.self.Address,
 		Version: p.parts.Routes.Version(), ProofAge: p.parts.Routes.Age(),
 		RosterRevision: p.parts.Roster.Snapshot().Revision,
-		Loads:          p.parts.Scheduler.Loads(), Quota: p.parts.Quota.News(), Suspects: p.parts.Suspects.Shared(),
+		Dispatch:       p.parts.Scheduler.News(), Quota: p.parts.Quota.News(), Suspects: p.parts.Suspects.Shared(),
 	}
 }
 
 // learn takes in the part of the news that holds whenever it was sent.
 func (p *Peering) learn(news *News) {
 	p.parts.Quota.Heard(news.Name, news.Quota)
-	p.parts.Scheduler.Heard(news.Name, news.Loads)
+	p.parts.Scheduler.Heard(news.Name, news.Dispatch)
 	p.parts.Suspects.Learn(news.Suspects)
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -80,12 +80,12 @@
 
 // Quota is the state of one process. It is safe for concurrent use.
 type Quota struct {
-	mu       sync.Mutex
-	now      func() time.Time
-	rules    Rules
-	self     usher.Incarnation
-	fresh    bool
-	started  time.Time
+	mu      sync.Mutex
+	now     func() time.Time
+	rules   Rules
+	self    usher.Incarnation
+	fresh   bool
+	started time.Time
 	// informed is set once another instance has told its levels.
 	informed bool
 	members  int
