Within a rank serve the requests that are worth most for their time first

Change: the line is ordered by worth for the expected time in a place; each sixth grant goes to the oldest; who would not be served in time is refused at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,10 +29,11 @@
 	Service usher.ServiceName
 	Rank    usher.Rank
 	// Prompt and Answer are the expected tokens; both are zero for requests to
-	// plain services.
-	Prompt usher.Tokens
-	Answer usher.Tokens
-	Prefix []usher.PromptPart
+	// plain services. MostAnswer is the longest answer that the caller takes.
+	Prompt     usher.Tokens
+	Answer     usher.Tokens
+	MostAnswer usher.Tokens
+	Prefix     []usher.PromptPart
 	// Arrived is when the caller's request was accepted, Target by when its
 	// answer should begin, and Deadline after when it is of no use.
 	Arrived  time.Time
@@ -82,8 +83,10 @@
 	arrivals [ranks]rate
 	// durations are how long requests of each rank take, once granted.
 	durations [ranks]time.Duration
-	prefix    *prefixes
-	counts    counts
+	// sizes are the mean sizes of the requests of each rank.
+	sizes  [ranks]float64
+	prefix *prefixes
+	counts counts
 }
 
 // counts are for the metrics.
@@ -147,13 +150,10 @@
 	} else {
 		w.patience = s.patience(v, w.ask, now)
 	}
-	if refusal := s.hopeless(v, w, now); refusal != nil {
-		v.counts.refused++
-		w.decided <- decision{refused: refusal}
-		return
-	}
+	w.density = v.density(w.ask)
 	v.line.add(w)
 	s.match(v, now)
+	s.dismiss(v, rankOf(w), now)
 }
 
 func (s *Scheduler) leave(w *waiter) {
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -27,6 +27,8 @@
 	sureRefusals = 6
 	// ranks is how many ranks are told apart; all above are one.
 	ranks = 16
+	// oldestEvery is at which grant of a rank the oldest goes first.
+	oldestEvery = 6
 	// turns is how many grants all ranks that are overtaken get together for
 	// each grant to a more urgent one, so that no rank starves.
 	turns = 0.2
@@ -34,8 +36,10 @@
 
 // waiter is a request that waits.
 type waiter struct {
-	ask      *Ask
-	entered  time.Time
+	ask     *Ask
+	entered time.Time
+	// density is the request's worth for the time that it takes of a place.
+	density  float64
 	patience time.Time
 	decided  chan decision
 }
@@ -52,9 +56,14 @@
 	return d.refused
 }
 
-// line is the requests that wait for one service, by rank and arrival.
+// line is the requests that wait for one service. Within a rank the densest go
+// first, because more callers are served that way: lengths of answers differ a
+// hundredfold, and a few long ones take the places of many. Every few grants
+// the one that has waited longest goes first, so that long ones are served too.
 type line struct {
 	byRank [ranks][]*waiter
+	// grants counts those of each rank, to tell whose turn it is.
+	grants [ranks]int
 	// credit is how much of a turn each rank has saved up.
 	credit [ranks]float64
 	count  int
@@ -68,7 +77,13 @@
 
 func (l *line) add(w *waiter) {
 	rank := rankOf(w)
-	l.byRank[rank] = append(l.byRank[rank], w)
+	at, _ := slices.BinarySearchFunc(l.byRank[rank], w, func(other, added *waiter) int {
+		if other.density >= added.density {
+			return -1
+		}
+		return 1
+	})
+	l.byRank[rank] = slices.Insert(l.byRank[rank], at, w)
 	l.count++
 }
 
@@ -80,39 +95,54 @@
 	}
 }
 
-// ahead returns how many requests are served before a new one of the rank.
-func (l *line) ahead(rank usher.Rank) int {
+// ahead returns how many requests are served before one of the line.
+func (l *line) ahead(w *waiter) int {
+	rank := rankOf(w)
 	n := 0
-	for r := 0; r <= int(min(rank, ranks-1)); r++ {
+	for r := range rank {
 		n += len(l.byRank[r])
 	}
-	return n
+	return n + max(0, slices.Index(l.byRank[rank], w))
 }
 
 // inOrder yields what waits, the next to be served first.
 func (l *line) inOrder() iter.Seq[*waiter] {
 	return func(yield func(*waiter) bool) {
 		first := l.due()
-		if first >= 0 {
-			for _, w := range l.byRank[first] {
-				if !yield(w) {
-					return
-				}
-			}
+		if first >= 0 && !l.yieldRank(first, yield) {
+			return
 		}
 		for rank := range l.byRank {
-			if rank == first {
-				continue
-			}
-			for _, w := range l.byRank[rank] {
-				if !yield(w) {
-					return
-				}
+			if rank != first && !l.yieldRank(rank, yield) {
+				return
 			}
 		}
 	}
 }
 
+func (l *line) yieldRank(rank int, yield func(*waiter) bool) bool {
+	if l.grants[rank]%oldestEvery == oldestEvery-1 && len(l.byRank[rank]) > 1 {
+		oldest := slices.MinFunc(l.byRank[rank], func(a, b *waiter) int { return a.entered.Compare(b.entered) })
+		if !yield(oldest) {
+			return false
+		}
+	}
+	for _, w := range l.byRank[rank] {
+		if !yield(w) {
+			return false
+		}
+	}
+	return true
+}
+
+// last returns the request of the rank that is served last, or nil.
+func (l *line) last(rank int) *waiter {
+	if n := len(l.byRank[rank]); n > 0 {
+		return l.byRank[rank][n-1]
+	}
+	return nil
+}
+
 // due returns the rank whose turn it is although more urgent ones wait, or -1.
 func (l *line) due() int {
 	for rank := ranks - 1; rank > 0; rank-- {
@@ -127,6 +157,7 @@
 // the ranks that it overtook.
 func (l *line) granted(w *waiter) {
 	served := rankOf(w)
+	l.grants[served]++
 	if l.credit[served] >= 1 {
 		l.credit[served]--
 	}
@@ -182,22 +213,31 @@
 	return time.Duration(float64(quickest) * beginMargin)
 }
 
-// hopeless returns a refusal for a request that would not be served before its
-// patience ends. Refused at once, its caller loses no time.
-func (s *Scheduler) hopeless(v *service, w *waiter, now time.Time) *usher.Refusal {
-	if v.line.len() >= maxWaiting {
-		return s.refuse(v, w.ask, now, "too many requests wait")
-	}
-	ahead := v.line.ahead(w.ask.Rank)
-	perSecond := v.left(rankOf(w), now)
-	if ahead < sureRefusals || perSecond <= 0 {
-		return nil
-	}
-	wait := time.Duration(float64(ahead) / perSecond * float64(time.Second))
-	if now.Add(wait).After(w.patience) {
-		return s.refuse(v, w.ask, now, "the wait would be too long")
+// dismiss refuses the requests of a rank that would not be served before their
+// patience ends. Refused at once, their callers lose no time.
+func (s *Scheduler) dismiss(v *service, rank int, now time.Time) {
+	for {
+		w := v.line.last(rank)
+		if w == nil {
+			return
+		}
+		why := "too many requests wait"
+		if v.line.len() <= maxWaiting {
+			ahead := v.line.ahead(w)
+			perSecond := v.left(rank, now)
+			if ahead < sureRefusals || perSecond <= 0 {
+				return
+			}
+			wait := time.Duration(float64(ahead) / perSecond * float64(time.Second))
+			if !now.Add(wait).After(w.patience) {
+				return
+			}
+			why = "the wait would be too long"
+		}
+		v.line.remove(w)
+		v.counts.refused++
+		w.decided <- decision{refused: s.refuse(v, w.ask, now, why)}
 	}
-	return nil
 }
 
 // left returns how many grants a second are left for a rank by those that are
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,7 +64,7 @@
 // admit asks the scheduler for an endpoint.
 func (j *job) admit(ctx context.Context, tried []usher.EndpointName) (*dispatch.Grant, *usher.Refusal) {
 	ask := &dispatch.Ask{
-		ID: j.head.ID, Service: j.service, Rank: j.rank(), Prompt: j.head.Cost.PromptTokens, Answer: j.head.Cost.AnswerTokens,
+		ID: j.head.ID, Service: j.service, Rank: j.rank(), Prompt: j.head.Cost.PromptTokens, Answer: j.head.Cost.AnswerTokens, MostAnswer: j.head.Cost.AnswerTokens,
 		Prefix: j.head.Prefix, Arrived: j.arrived, Deadline: j.deadline, Tried: tried,
 	}
 	if j.head.Hint > 0 {
