One client of the store; plain services, calls and connections of many instances

Cause: two clients of the object API, one for a protocol that only the stand-in spoke.

Change: platform.Client implements usher.Store on the platform's published protocol; the stand-in speaks it; internal/platform is removed. An instance always has two places at a plain service, which queues and sheds by itself. Pauses between calls to the store grow with the number of instances. The idle time of connections for requests that run once is learned.

--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
@@ -16,11 +15,11 @@
 	"filbertusher/internal/link"
 	"filbertusher/internal/member"
 	"filbertusher/internal/operator"
-	"filbertusher/internal/platform"
 	"filbertusher/internal/settings"
 	"filbertusher/internal/spread"
 	"filbertusher/internal/telemetry"
 	"filbertusher/pkg/usher"
+	"filbertusher/platform"
 )
 
 // process is what every long-running process has: its settings of the store
@@ -51,9 +50,6 @@
 	set.Duration(&p.drainTimeout, "drain-timeout", 30*time.Second, 0, time.Hour, "how long a planned stop waits for requests in flight")
 }
 
-// storeConnections bounds the idle connections to the store.
-const storeConnections = 4
-
 // start opens the operators' listener.
 func (p *process) start(ctx context.Context, errOut io.Writer) (context.Context, error) {
 	level, err := zerolog.ParseLevel(p.logLevel)
@@ -63,7 +59,7 @@
 	p.log = telemetry.NewLogger(errOut, level)
 	telemetry.RedirectStandardLog(p.log)
 	p.incarnation = usher.Incarnation(uuid.NewString())
-	p.store = platform.New(p.storeAddress, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: storeConnections}})
+	p.store = platform.New(p.storeAddress)
 	p.config = config.NewHolder()
 	listener, err := net.Listen("tcp", p.adminAddress)
 	if err != nil {
--- a/internal/command/record.go
+++ b/internal/command/record.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"strconv"
 	"time"
@@ -13,10 +12,10 @@
 	"golang.org/x/time/rate"
 
 	"filbertusher/internal/archive"
-	"filbertusher/internal/platform"
 	"filbertusher/internal/settings"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
+	"filbertusher/platform"
 )
 
 // ExitBroken is the exit status of "record verify" when the record is not
@@ -53,7 +52,7 @@
 	set.Address(&store, "store", "", true, "the platform's object API")
 	set.Int(&reads, "calls", 500, 1, 1000000, "how many calls a second are made to it at most")
 	return func() *archive.Reader {
-		return archive.NewPacedReader(platform.New(store, http.DefaultClient), rate.Limit(reads))
+		return archive.NewPacedReader(platform.New(store), rate.Limit(reads))
 	}
 }
 
--- a/internal/command/suspects.go
+++ b/internal/command/suspects.go
@@ -4,13 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"text/tabwriter"
 	"time"
 
-	"filbertusher/internal/platform"
 	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
+	"filbertusher/platform"
 )
 
 // newSuspectsCommand has the commands on requests that were in endpoints that
@@ -26,7 +25,7 @@
 	var store string
 	command.Settings.Address(&store, "store", "", true, "the platform's object API")
 	command.Run = func(ctx context.Context, out, _ io.Writer) error {
-		suspects, err := suspect.List(ctx, platform.New(store, http.DefaultClient))
+		suspects, err := suspect.List(ctx, platform.New(store))
 		if err != nil {
 			return err
 		}
@@ -53,7 +52,7 @@
 	command.Settings.Address(&store, "store", "", true, "the platform's object API")
 	command.Settings.Text(&fingerprint, "fingerprint", "", false, "the one to clear; all when it is empty")
 	command.Run = func(ctx context.Context, out, _ io.Writer) error {
-		cleared, err := suspect.Clear(ctx, usher.Store(platform.New(store, http.DefaultClient)), suspect.Fingerprint(fingerprint))
+		cleared, err := suspect.Clear(ctx, usher.Store(platform.New(store)), suspect.Fingerprint(fingerprint))
 		if err != nil {
 			return err
 		}
--- a/internal/config/load_test.go
+++ b/internal/config/load_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"testing"
@@ -12,9 +11,9 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"filbertusher/internal/config"
-	"filbertusher/internal/platform"
 	"filbertusher/internal/standin/store"
 	"filbertusher/pkg/usher"
+	"filbertusher/platform"
 )
 
 // unlimited is a budget that no test reaches.
@@ -23,7 +22,7 @@
 func newStore(t testing.TB) usher.Store {
 	server := httptest.NewServer(store.New(store.NewMemory(), unlimited, 0).Handler())
 	t.Cleanup(server.Close)
-	return platform.New(server.Listener.Addr().String(), &http.Client{})
+	return platform.New(server.Listener.Addr().String())
 }
 
 // workspaces returns n workspaces with one token each.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -40,6 +40,11 @@
 	// lateCost is by how much an endpoint seems slower that would begin after the
 	// request's target.
 	lateCost = 2 * time.Second
+	// plainPlaces is how many requests an instance may always have at an endpoint
+	// of a plain service, and plainQueue how many times its places may be known to
+	// be taken.
+	plainPlaces = 2
+	plainQueue  = 2
 	// mostRatio bounds what is learned from one engine.
 	mostRatio = 50
 )
@@ -85,11 +90,19 @@
 // room says whether this instance may send one more request to the endpoint.
 // It may up to its own part of the places, and beyond that where the news of
 // the others leave so many free that not all can reach for them at once.
+//
+// Plain services queue a little and refuse what is beyond, and their requests
+// are shorter than the news of the others are old, so there an instance always
+// has a few places.
 func (s *Scheduler) room(v *service, e *engine, now time.Time) bool {
 	if now.Before(e.suspended) {
 		return false
 	}
-	free := e.slots(v.spec) - e.own.Running - e.others.Running
+	slots := e.slots(v.spec)
+	free := slots - e.own.Running - e.others.Running
+	if !v.spec.Engine {
+		return e.own.Running < max(plainPlaces, e.entitled) && free > -slots*plainQueue
+	}
 	if free <= 0 {
 		return false
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,20 +22,27 @@
 	"filbertusher/pkg/usher"
 )
 
+// The pauses hold for a few instances. With more they grow, so that the calls of
+// all together grow more slowly than the fleet.
 const (
+	// fewInstances is up to how many instances the pauses hold.
+	fewInstances = 8
 	// routesWait is how long one watch of the configuration waits. Each reply
 	// proves the configuration as of its call, so this bounds the age of proofs.
-	routesWait = 1200 * time.Millisecond
+	routesWait     = 1200 * time.Millisecond
+	mostRoutesWait = 2400 * time.Millisecond
 	// endpointsWait is how long one watch of the endpoints waits.
 	endpointsWait = 5 * time.Second
 	// endpointsPace is the least time between two watches of the endpoints,
 	// whose entries change all the time.
-	endpointsPace = 450 * time.Millisecond
+	endpointsPace     = 450 * time.Millisecond
+	mostEndpointsPace = 1300 * time.Millisecond
 	// announceEvery is how often an instance tells that it is there.
-	announceEvery = 3 * time.Second
-	// goneAfter is for how long another instance may fail to announce itself
-	// before it is taken for lost.
-	goneAfter = 10 * time.Second
+	announceEvery     = 3 * time.Second
+	mostAnnounceEvery = 12 * time.Second
+	// goneFactor is how many announcements another instance may miss before it is
+	// taken for lost.
+	goneFactor = 3.3
 	// firstRetry and lastRetry bound the pause after a failed call. Both are
 	// drawn at random, so that instances that failed together spread out.
 	firstRetry = 60 * time.Millisecond
@@ -67,6 +74,17 @@
 
 	mu    sync.Mutex
 	beats map[string]beat
+	// members is how many instances are alive.
+	members atomic.Int64
+}
+
+// paced stretches a pause by the number of instances, up to most.
+func (f *Follower) paced(pause, most time.Duration) time.Duration {
+	members := f.members.Load()
+	if members <= fewInstances {
+		return pause
+	}
+	return min(most, pause*time.Duration(members)/fewInstances)
 }
 
 type beat struct {
@@ -152,9 +170,10 @@
 		defer cancel()
 		return f.options.Directory.Routes(limited)
 	}
-	limited, cancel := context.WithTimeout(ctx, routesWait+callTimeout)
+	wait := f.paced(routesWait, mostRoutesWait)
+	limited, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	return f.options.Directory.WatchRoutes(limited, since, routesWait)
+	return f.options.Directory.WatchRoutes(limited, since, wait)
 }
 
 func (f *Follower) endpoints(ctx context.Context) {
@@ -191,7 +210,7 @@
 		f.options.EndpointsChanged()
 		f.confirmed.Store(int64(began))
 		since = next
-		pause.For(ctx, endpointsPace-boottime.Since(began))
+		pause.For(ctx, f.paced(endpointsPace, mostEndpointsPace)-boottime.Since(began))
 	}
 }
 
@@ -226,8 +245,11 @@
 		}
 		f.store.worked()
 		retry.reset()
-		f.options.Instances(ctx, f.alive(all))
-		pause.For(ctx, announceEvery+time.Duration(rand.Int64N(int64(announceEvery/4))))
+		alive := f.alive(all)
+		f.members.Store(int64(len(alive)))
+		f.options.Instances(ctx, alive)
+		every := f.paced(announceEvery, mostAnnounceEvery)
+		pause.For(ctx, every+time.Duration(rand.Int64N(int64(every/4))))
 	}
 }
 
@@ -237,6 +259,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
+	goneAfter := time.Duration(goneFactor * float64(f.paced(announceEvery, mostAnnounceEvery)))
 	alive := make([]usher.GatewayInstance, 0, len(all)+1)
 	self := false
 	for _, instance := range all {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -12,8 +12,8 @@
 	"filbertusher/internal/admin"
 	"filbertusher/internal/config"
 	"filbertusher/internal/operator"
-	"filbertusher/internal/platform"
 	"filbertusher/pkg/usher"
+	"filbertusher/platform"
 )
 
 // Binaries are the programs that a fleet is made of.
@@ -48,7 +48,7 @@
 		return nil, err
 	}
 	f.Store = store
-	f.Client = platform.New(store.Address, &http.Client{})
+	f.Client = platform.New(store.Address)
 	return f, nil
 }
 
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -14,8 +14,13 @@
 	"filbertusher/pkg/usher"
 )
 
-// maxValue is the largest value the platform takes, in bytes.
-const maxValue = 1 << 20
+const (
+	// maxBody is the largest body of a write, in bytes: a value of a megabyte, as
+	// it is encoded in JSON, and what the platform writes around it.
+	maxBody = 1<<20*4/3 + 1<<10
+	// kindServers is the kind of the platform's list of instances.
+	kindServers = "servers"
+)
 
 // Faults is what the control URL sets. It is replaced as a whole.
 type Faults struct {
@@ -91,12 +96,11 @@
 // Handler returns the HTTP handler of the API and of the control URL.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /objects", s.list)
-	mux.HandleFunc("GET /objects/{key...}", s.get)
-	mux.HandleFunc("PUT /objects/{key...}", s.write)
-	mux.HandleFunc("DELETE /objects/{key...}", s.write)
-	mux.HandleFunc("GET /watch", s.watch)
-	mux.HandleFunc("GET /instances", s.listInstances)
+	mux.HandleFunc("GET /v1/objects/{kind}", s.listOrWatch)
+	mux.HandleFunc("GET /v1/objects/{kind}/{name...}", s.get)
+	mux.HandleFunc("POST /v1/objects/{kind}", s.create)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name...}", s.replace)
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name...}", s.remove)
 	mux.HandleFunc("PUT /control/faults", s.setFaults)
 	mux.HandleFunc("PUT /control/instances", s.setInstances)
 	mux.HandleFunc("POST /control/forget", s.forget)
@@ -133,24 +137,55 @@
 	s.mu.Unlock()
 }
 
+func keyOf(r *http.Request) usher.ObjectKey {
+	return usher.ObjectKey(r.PathValue("kind") + "/" + r.PathValue("name"))
+}
+
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w, s.reads, &s.counts.Reads) {
 		return
 	}
-	object, ok := s.memory.Get(usher.ObjectKey(r.PathValue("key")))
+	found, ok := s.memory.Get(keyOf(r))
 	if !ok {
 		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
-	s.reply(w, http.StatusOK, object)
+	s.reply(w, http.StatusOK, toWire(found))
+}
+
+func (s *Server) listOrWatch(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		s.watch(w, r)
+		return
+	}
+	s.list(w, r)
 }
 
+// pageSize is how many objects one answer to a list holds.
+const pageSize = 500
+
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	if !s.admit(w, s.reads, &s.counts.Reads) {
 		return
 	}
-	objects, revision := s.memory.List(usher.ObjectKey(r.URL.Query().Get("prefix")))
-	s.reply(w, http.StatusOK, map[string]any{"objects": objects, "revision": revision})
+	kind := r.PathValue("kind")
+	found, revision := s.memory.List(usher.ObjectKey(kind + "/"))
+	if kind == kindServers {
+		found = append(found, s.shownInstances()...)
+	}
+	after := usher.ObjectKey(kind + "/" + r.URL.Query().Get("after"))
+	page := listReply{Entries: []wireObject{}, Revision: revision}
+	for _, one := range found {
+		if one.Key <= after {
+			continue
+		}
+		if len(page.Entries) == pageSize {
+			page.More = true
+			break
+		}
+		page.Entries = append(page.Entries, toWire(one))
+	}
+	s.reply(w, http.StatusOK, page)
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
@@ -158,14 +193,14 @@
 		return
 	}
 	query := r.URL.Query()
-	since, errSince := strconv.ParseUint(query.Get("since"), 10, 64)
-	wait, errWait := time.ParseDuration(query.Get("wait"))
+	since, errSince := strconv.ParseUint(query.Get("watch"), 10, 64)
+	wait, errWait := strconv.Atoi(query.Get("wait_ms"))
 	if errSince != nil || errWait != nil {
-		http.Error(w, "since and wait are needed", http.StatusBadRequest)
+		http.Error(w, "watch and wait_ms are needed", http.StatusBadRequest)
 		return
 	}
 	s.tally(&s.counts.Waiting)
-	events, revision, lost := s.memory.Watch(r.Context().Done(), usher.ObjectKey(query.Get("prefix")), usher.Version(since), wait)
+	events, revision, lost := s.memory.Watch(r.Context().Done(), usher.ObjectKey(r.PathValue("kind")+"/"), usher.Version(since), time.Duration(wait)*time.Millisecond)
 	s.mu.Lock()
 	s.counts.Waiting--
 	s.mu.Unlock()
@@ -173,33 +208,90 @@
 		http.Error(w, "history lost", http.StatusGone)
 		return
 	}
-	s.reply(w, http.StatusOK, map[string]any{"events": events, "revision": revision})
+	changes := watchReply{Events: []wireEvent{}, Revision: revision}
+	for _, event := range events {
+		changes.Events = append(changes.Events, wireEvent{Object: toWire(event.Object), Deleted: event.Deleted})
+	}
+	s.reply(w, http.StatusOK, changes)
 }
 
-func (s *Server) write(w http.ResponseWriter, r *http.Request) {
-	if !s.admit(w, s.writes, &s.counts.Writes) {
+// create writes an object that must not exist yet.
+func (s *Server) create(w http.ResponseWriter, r *http.Request) {
+	body, ok := s.readObject(w, r)
+	if !ok {
 		return
 	}
-	value, err := io.ReadAll(io.LimitReader(r.Body, maxValue+1))
-	if err != nil {
+	s.commit(w, usher.ObjectKey(r.PathValue("kind")+"/"+body.Metadata.Name), 0, body.Spec, false)
+}
+
+// replace writes an object, on the condition of its revision if one is given.
+func (s *Server) replace(w http.ResponseWriter, r *http.Request) {
+	body, ok := s.readObject(w, r)
+	if !ok {
 		return
 	}
-	if len(value) > maxValue {
-		http.Error(w, "value over a megabyte", http.StatusRequestEntityTooLarge)
+	key := keyOf(r)
+	current, exists := s.memory.Get(key)
+	if !exists {
+		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
-	expected, ok := condition(r.Header)
-	if !ok {
-		http.Error(w, "If-Match or If-None-Match is needed", http.StatusPreconditionRequired)
+	expected := body.Metadata.Revision
+	if expected == 0 {
+		expected = current.Version
+	}
+	s.commit(w, key, expected, body.Spec, false)
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	if !s.admit(w, s.writes, &s.counts.Writes) {
+		return
+	}
+	key := keyOf(r)
+	current, exists := s.memory.Get(key)
+	if !exists {
+		http.Error(w, "not found", http.StatusNotFound)
 		return
 	}
+	expected := current.Version
+	if text := r.URL.Query().Get("revision"); text != "" {
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			http.Error(w, "revision is no number", http.StatusBadRequest)
+			return
+		}
+		expected = usher.Version(number)
+	}
+	s.commit(w, key, expected, nil, true)
+}
+
+// readObject counts a write and reads its body.
+func (s *Server) readObject(w http.ResponseWriter, r *http.Request) (wireObject, bool) {
+	var body wireObject
+	if !s.admit(w, s.writes, &s.counts.Writes) {
+		return body, false
+	}
+	text, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+	if err != nil {
+		return body, false
+	}
+	if len(text) > maxBody {
+		http.Error(w, "value over a megabyte", http.StatusRequestEntityTooLarge)
+		return body, false
+	}
+	if err := json.Unmarshal(text, &body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return body, false
+	}
 	s.mu.Lock()
-	s.counts.WriteIn += int64(len(value))
+	s.counts.WriteIn += int64(len(text))
 	s.mu.Unlock()
-	key := usher.ObjectKey(r.PathValue("key"))
-	apply := func() (usher.Version, bool) {
-		return s.memory.Write(key, expected, value, r.Method == http.MethodDelete)
-	}
+	return body, true
+}
+
+// commit makes the change and answers, or does what the faults say.
+func (s *Server) commit(w http.ResponseWriter, key usher.ObjectKey, expected usher.Version, spec []byte, deleted bool) {
+	apply := func() (usher.Version, bool) { return s.memory.Write(key, expected, spec, deleted) }
 	if s.holdBack(key, apply) {
 		panic(http.ErrAbortHandler)
 	}
@@ -207,11 +299,16 @@
 	if s.takeFault(key, &s.faults.LoseAnswers) {
 		panic(http.ErrAbortHandler)
 	}
-	status := http.StatusOK
-	if !done {
-		status = http.StatusPreconditionFailed
+	if done {
+		s.reply(w, http.StatusOK, toWire(usher.Object{Key: key, Version: version, Value: spec}))
+		return
 	}
-	s.reply(w, status, map[string]any{"version": version})
+	current, exists := s.memory.Get(key)
+	if !exists {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	s.reply(w, http.StatusConflict, toWire(current))
 }
 
 // holdBack lets a write take effect late, if that fault is set.
@@ -236,15 +333,6 @@
 	return true
 }
 
-func condition(header http.Header) (usher.Version, bool) {
-	if header.Get("If-None-Match") == "*" {
-		return 0, true
-	}
-	tag := strings.Trim(header.Get("If-Match"), `"`)
-	version, err := strconv.ParseUint(tag, 10, 64)
-	return usher.Version(version), err == nil
-}
-
 func (s *Server) reply(w http.ResponseWriter, status int, body any) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
@@ -259,10 +347,8 @@
 	_, _ = w.Write(encoded)
 }
 
-func (s *Server) listInstances(w http.ResponseWriter, _ *http.Request) {
-	if !s.admit(w, s.reads, &s.counts.Reads) {
-		return
-	}
+// shownInstances returns the lagging list of instances as objects.
+func (s *Server) shownInstances() []usher.Object {
 	s.mu.Lock()
 	shown := []Instance{}
 	for _, list := range s.instances {
@@ -271,7 +357,20 @@
 		}
 	}
 	s.mu.Unlock()
-	s.reply(w, http.StatusOK, shown)
+	objects := make([]usher.Object, 0, len(shown))
+	for _, instance := range shown {
+		state := "ready"
+		if instance.Leaving {
+			state = "draining"
+		}
+		spec, err := json.Marshal(map[string]any{
+			"service": "unnamed", "address": instance.Address, "zone": "", "slots": 1, "state": state, "sequence": 1,
+		})
+		if err == nil {
+			objects = append(objects, usher.Object{Key: usher.ObjectKey(kindServers + "/" + instance.Address), Value: spec})
+		}
+	}
+	return objects
 }
 
 func (s *Server) setInstances(w http.ResponseWriter, r *http.Request) {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,8 +21,12 @@
 	// idleUnannounced bounds idle connections where no timeout is told.
 	idleUnannounced = 4 * time.Second
 	// idleOnce bounds them for requests that must not be lost to a close that
-	// is already on its way.
-	idleOnce = 400 * time.Millisecond
+	// is already on its way, and leastOnce where such a loss was seen.
+	idleOnce  = 1500 * time.Millisecond
+	leastOnce = 100 * time.Millisecond
+	// onceGrowth is by how much the bound grows again with each use of a
+	// connection that goes well.
+	onceGrowth = 1.01
 	// maxIdle bounds the idle connections to one endpoint.
 	maxIdle = 64
 )
@@ -33,6 +37,8 @@
 	reader *bufio.Reader
 	// served counts the requests that were answered on it.
 	served int
+	// idled is for how long it was idle before its last use.
+	idled time.Duration
 	// since is when it became idle, and until when it may be used again.
 	since, until time.Time
 	closing      sync.Once
@@ -49,11 +55,12 @@
 			break
 		}
 		now := time.Now()
-		if now.After(c.until) || (once && now.Sub(c.since) > idleOnce) || !c.quiet() {
+		if now.After(c.until) || (once && now.Sub(c.since) > p.onceBound()) || !c.quiet() {
 			c.abort()
 			continue
 		}
 		p.count(&p.reused)
+		c.idled = now.Sub(c.since)
 		return c, nil
 	}
 	return p.dial(ctx, key)
@@ -85,6 +92,26 @@
 	return err == nil && quiet
 }
 
+// onceBound returns for how long a connection may have been idle that is used
+// for a request that must not be lost.
+func (p *Pool) onceBound() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.once
+}
+
+// learnReuse moves that bound by how the use of an idle connection went. Some
+// endpoints drop idle connections without a word and much sooner than they say.
+func (p *Pool) learnReuse(idle time.Duration, lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if lost {
+		p.once = max(leastOnce, min(p.once, idle/2))
+		return
+	}
+	p.once = min(idleOnce, time.Duration(float64(p.once)*onceGrowth))
+}
+
 func (p *Pool) count(counter *int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -122,11 +122,12 @@
 	idle   map[target][]*conn
 	dialed int64
 	reused int64
+	once   time.Duration
 }
 
 // New returns an empty pool.
 func New(dialect usher.Dialect) *Pool {
-	return &Pool{dialect: dialect, dialer: dial.New(dialTimeout, silence), idle: make(map[target][]*conn)}
+	return &Pool{dialect: dialect, dialer: dial.New(dialTimeout, silence), idle: make(map[target][]*conn), once: idleOnce}
 }
 
 // Send sends a request and waits for the head of its answer. When ctx ends the
@@ -148,9 +149,14 @@
 		c.abort()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
+		} else if c.served > 0 {
+			p.learnReuse(c.idled, true)
 		}
 		return nil, &LostError{Cause: err, Reused: c.served > 0}
 	}
+	if c.served > 0 {
+		p.learnReuse(c.idled, false)
+	}
 	answer.stop, answer.pool, answer.key = stop, p, key
 	return answer, nil
 }
