--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,6 +39,9 @@
 	Arrived  time.Time
 	Target   time.Time
 	Deadline time.Time
+	// Started requests have run in part: the rest of a stream whose beginning the
+	// caller has, or a request whose endpoint has gone silent.
+	Started bool
 	// Tried are the endpoints that had the request already.
 	Tried []usher.EndpointName
 }
@@ -140,6 +143,21 @@
 	}
 }
 
+// Try returns a place that is free now and that nobody waits for, or nil.
+func (s *Scheduler) Try(ask *Ask) *Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, now := s.service(ask.Service), s.options.Now()
+	if v.line.len() > 0 {
+		return nil
+	}
+	e := s.best(v, ask, now)
+	if e == nil {
+		return nil
+	}
+	return s.grant(v, e, ask, now)
+}
+
 // enter decides on a new request, or lets it wait. It needs the lock.
 func (s *Scheduler) enter(w *waiter, now time.Time) {
 	v := s.service(w.ask.Service)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -106,7 +106,7 @@
 	if free <= 0 {
 		return false
 	}
-	return e.own.Running < e.entitled || free > len(s.members)/4
+	return e.own.Running < e.entitled || free > len(s.members)/2
 }
 
 // first returns the expected time to the first event of a request.
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -17,9 +17,11 @@
 	// expected time is kept.
 	mostBegin   = 0.5
 	beginMargin = 1.3
-	// latePatience is how long a request waits whose target has passed, such as
-	// the rest of a stream that broke off.
-	latePatience = 600 * time.Millisecond
+	// latePatience is how long a request waits whose target has passed, and
+	// startedPatience the rest of a stream. Callers leave streams that stand still
+	// for two seconds.
+	latePatience    = 600 * time.Millisecond
+	startedPatience = 1200 * time.Millisecond
 	// maxWaiting bounds the requests that wait for one service.
 	maxWaiting = 2000
 	// sureRefusals is behind how many requests an estimate of the wait is taken
@@ -69,7 +71,14 @@
 	count  int
 }
 
-func rankOf(w *waiter) int { return clampRank(w.ask.Rank) }
+// rankOf returns the rank that a request waits in. What has been delivered of a
+// stream is lost with its rest, so the rest goes before all that is new.
+func rankOf(w *waiter) int {
+	if w.ask.Started {
+		return 0
+	}
+	return clampRank(w.ask.Rank)
+}
 
 func clampRank(rank usher.Rank) int { return int(max(0, min(rank, ranks-1))) }
 
@@ -191,7 +200,9 @@
 // begin its answer in time.
 func (s *Scheduler) patience(v *service, ask *Ask, now time.Time) time.Time {
 	until := now.Add(latePatience)
-	if ask.Target.After(now) {
+	if ask.Started {
+		until = now.Add(startedPatience)
+	} else if ask.Target.After(now) {
 		span := ask.Target.Sub(ask.Arrived)
 		until = ask.Target.Add(-min(time.Duration(float64(span)*mostBegin), s.quickest(v, ask, now)))
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -121,7 +121,9 @@
 }
 
 func (f *Follower) routes(ctx context.Context) {
-	var since usher.Version
+	// seen is the version that the watch knows. Only that one can be proven by
+	// hearing nothing; a peer may have told a newer one.
+	var since, seen usher.Version
 	retry := backoff{}
 	for ctx.Err() == nil {
 		began := boottime.Now()
@@ -129,6 +131,7 @@
 		if err != nil {
 			if lost := new(usher.HistoryLostError); errors.As(err, &lost) {
 				since = 0
+				retry.wait(ctx)
 				continue
 			}
 			if missing := new(usher.NotFoundError); errors.As(err, &missing) {
@@ -146,12 +149,9 @@
 		since = next
 		if table != nil {
 			f.options.Routes.Adopt(table, "store")
-			// An older version than the one in force, as a peer may have told a
-			// newer one, proves nothing; Prove compares.
-			f.options.Routes.Prove(table.Version, began)
-			continue
+			seen = table.Version
 		}
-		f.options.Routes.Prove(f.options.Routes.Version(), began)
+		f.options.Routes.Prove(seen, began)
 	}
 }
 
@@ -186,6 +186,7 @@
 		if err != nil {
 			if lost := new(usher.HistoryLostError); errors.As(err, &lost) {
 				since = 0
+				retry.wait(ctx)
 				continue
 			}
 			f.store.failed(ctx, "endpoints", err)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -68,7 +68,7 @@
 
 // metrics are the counters and histograms of the callers' side.
 type metrics struct {
-	started, suspected, overQuota, overBudget, repeated *expvar.Int
+	started, suspected, overQuota, overBudget, repeated, moved *expvar.Int
 
 	refused  *telemetry.Metrics
 	statuses *telemetry.Metrics
@@ -81,7 +81,7 @@
 	group := telemetry.NewMetrics("gateway")
 	return &metrics{
 		started: group.Counter("started"), suspected: group.Counter("suspected"), overQuota: group.Counter("overQuota"),
-		overBudget: group.Counter("overBudget"), repeated: group.Counter("repeated"),
+		overBudget: group.Counter("overBudget"), repeated: group.Counter("repeated"), moved: group.Counter("moved"),
 		refused: telemetry.NewMetrics("gatewayRefused"), statuses: telemetry.NewMetrics("gatewayStatus"),
 		first: newHistogram(), total: newHistogram(), waited: newHistogram(),
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -16,11 +16,6 @@
 	// maxUnreached bounds how many endpoints that can't be connected to are
 	// tried for one request.
 	maxUnreached = 4
-	// patienceFactor is how many times its target the head of an answer may take
-	// before a request that may repeat is sent elsewhere.
-	patienceFactor = 2.5
-	// leastPatience is the shortest such time.
-	leastPatience = 250 * time.Millisecond
 	// leastLeft is how much time must be left to send a request at all.
 	leastLeft = 20 * time.Millisecond
 )
@@ -29,21 +24,24 @@
 func (j *job) run(ctx context.Context) {
 	stream := &relay{job: j}
 	var tried []usher.EndpointName
+	var grant *dispatch.Grant
 	unreached := 0
 	mayHaveRun := false
 	for {
-		grant, refusal := j.admit(ctx, tried)
-		if refusal != nil {
-			j.giveUp(ctx, stream, refusal, mayHaveRun)
-			return
+		if grant == nil {
+			var refusal *usher.Refusal
+			if grant, refusal = j.admit(ctx, j.ask(tried, stream.started)); refusal != nil {
+				j.giveUp(ctx, stream, refusal, mayHaveRun)
+				return
+			}
 		}
 		if refusal := j.clear(); refusal != nil {
 			grant.End(dispatch.Cancelled)
 			j.giveUp(ctx, stream, refusal, mayHaveRun)
 			return
 		}
-		result := j.attempt(ctx, grant, stream)
 		tried = append(tried, grant.Endpoint.Name)
+		result, next := j.attempt(ctx, grant, tried, stream)
 		switch result.end {
 		case delivered:
 			return
@@ -54,17 +52,18 @@
 			mayHaveRun = true
 		}
 		j.detail = result.detail()
-		if !j.mayRepeat(ctx, result, unreached) {
+		if grant = next; grant == nil && !j.mayRepeat(ctx, result, unreached) {
 			j.fail(ctx, stream, result, mayHaveRun)
 			return
 		}
 	}
 }
 
-// admit asks the scheduler for an endpoint.
-func (j *job) admit(ctx context.Context, tried []usher.EndpointName) (*dispatch.Grant, *usher.Refusal) {
+// ask returns what the scheduler has to know of the request.
+func (j *job) ask(tried []usher.EndpointName, started bool) *dispatch.Ask {
 	ask := &dispatch.Ask{
-		ID: j.head.ID, Service: j.service, Rank: j.rank(), Prompt: j.head.Cost.PromptTokens, Answer: j.head.Cost.AnswerTokens, MostAnswer: j.head.Cost.AnswerTokens,
+		ID: j.head.ID, Service: j.service, Rank: j.rank(), Started: started,
+		Prompt: j.head.Cost.PromptTokens, Answer: j.head.Cost.AnswerTokens, MostAnswer: j.head.Cost.AnswerTokens,
 		Prefix: j.head.Prefix, Arrived: j.arrived, Deadline: j.deadline, Tried: tried,
 	}
 	if j.head.Hint > 0 {
@@ -73,6 +72,11 @@
 	if j.route.Target > 0 {
 		ask.Target = j.arrived.Add(j.route.Target)
 	}
+	return ask
+}
+
+// admit asks the scheduler for an endpoint.
+func (j *job) admit(ctx context.Context, ask *dispatch.Ask) (*dispatch.Grant, *usher.Refusal) {
 	before := time.Now()
 	grant, err := j.gateway.Scheduler.Admit(ctx, ask)
 	j.waited += time.Since(before)
@@ -135,14 +139,33 @@
 	return endingNames[r.end]
 }
 
-// attempt sends the request to one endpoint.
-func (j *job) attempt(ctx context.Context, grant *dispatch.Grant, stream *relay) result {
+// attempt sends the request to one endpoint. It returns the place at another one
+// that it was given up for, if it was.
+func (j *job) attempt(ctx context.Context, grant *dispatch.Grant, tried []usher.EndpointName, stream *relay) (result, *dispatch.Grant) {
 	j.attempts++
 	j.endpoint = grant.Endpoint.Name
 	if !j.earned {
 		j.earned = true
 		j.gateway.Budget.Earn(j.service)
 	}
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var elsewhere *dispatch.Ask
+	if j.route.Idempotent() && j.attempts < j.route.MaxAttempts {
+		elsewhere = j.ask(tried, true)
+	}
+	watch := j.watch(elsewhere, cancel)
+	r := j.exchange(attempt, grant, stream, watch)
+	next := watch.stop()
+	if r.end == delivered && next != nil {
+		next.End(dispatch.Cancelled)
+		next = nil
+	}
+	return r, next
+}
+
+// exchange sends the request and takes in the answer.
+func (j *job) exchange(ctx context.Context, grant *dispatch.Grant, stream *relay, watch *mover) result {
 	sent := time.Now()
 	answer, err := j.gateway.Pool.Send(ctx, &grant.Endpoint, j.upstreamRequest(grant, stream.lastID))
 	if err != nil {
@@ -154,7 +177,7 @@
 		return result{end: notRun, cause: &RejectedError{Status: answer.Status}}
 	}
 	if j.route.Kind == usher.KindStream && answer.Status == http.StatusOK {
-		return stream.forward(ctx, grant, answer)
+		return stream.forward(ctx, grant, answer, watch)
 	}
 	return j.readWhole(ctx, grant, answer)
 }
@@ -176,7 +199,7 @@
 		grant.End(dispatch.Cancelled)
 		return result{end: notSent, cause: err}
 	case ctx.Err() != nil:
-		grant.End(dispatch.Cancelled)
+		grant.End(endAfter(ctx, dispatch.Failed))
 		return result{end: lost, cause: err}
 	}
 	grant.End(dispatch.Failed)
@@ -189,19 +212,10 @@
 	if j.workspace != nil {
 		send.Workspace = j.workspace.Name
 	}
-	request := &upstream.Request{
+	return &upstream.Request{
 		ID: j.head.ID, Method: j.request.Method, Target: j.request.RequestURI, Host: j.request.Host,
 		Header: j.gateway.Dialect.Forward(j.request.Header, send), Body: j.body, Once: !j.route.Idempotent(),
 	}
-	if j.route.Idempotent() && j.attempts < j.route.MaxAttempts {
-		request.HeadBy = time.Now().Add(j.firstPatience())
-	}
-	return request
-}
-
-// firstPatience is how long an endpoint may take to begin its answer.
-func (j *job) firstPatience() time.Duration {
-	return max(leastPatience, time.Duration(float64(j.route.Target)*patienceFactor))
 }
 
 // RejectedError is the cause where an endpoint refused to run a request.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"filbertusher/internal/dispatch"
@@ -14,11 +13,6 @@
 )
 
 const (
-	// stallFactor is how many times the longest pause on time a stream may stand
-	// still before it goes on at another endpoint.
-	stallFactor = 3
-	// leastStall is the shortest such time.
-	leastStall = 800 * time.Millisecond
 	// eventsPerReport is after how many events the scheduler is told of the pace.
 	eventsPerReport = 8
 	// writeMargin is how long after its deadline a caller may take to read.
@@ -38,7 +32,7 @@
 }
 
 // forward passes on what one endpoint sends.
-func (s *relay) forward(ctx context.Context, grant *dispatch.Grant, answer *upstream.Answer) result {
+func (s *relay) forward(ctx context.Context, grant *dispatch.Grant, answer *upstream.Answer, watch *mover) result {
 	j := s.job
 	if !answer.Reply.Sealed {
 		answer.Close(false)
@@ -46,7 +40,7 @@
 		return result{end: lost, cause: &upstream.GarbledError{Reason: "a stream that the endpoint does not vouch for"}}
 	}
 	events := upstream.NewEventReader(answer.Body)
-	err := s.copy(grant, answer, events)
+	err := s.copy(grant, answer, events, watch)
 	answer.Close(errors.Is(err, io.EOF))
 	if s.broken {
 		grant.End(dispatch.Cancelled)
@@ -68,14 +62,10 @@
 
 // copy passes events on until the stream ends, and returns why it ended. io.EOF
 // is the end of a whole stream.
-func (s *relay) copy(grant *dispatch.Grant, answer *upstream.Answer, events *upstream.EventReader) error {
+func (s *relay) copy(grant *dispatch.Grant, answer *upstream.Answer, events *upstream.EventReader, watch *mover) error {
 	j := s.job
-	patience := j.firstPatience()
 	unreported := 0
 	for n := 0; ; n++ {
-		if !events.Pending() {
-			answer.SetReadDeadline(s.readBy(patience))
-		}
 		event, err := events.Next()
 		if err != nil {
 			grant.Events(unreported)
@@ -83,11 +73,11 @@
 		}
 		if n == 0 {
 			grant.First()
-			patience = max(leastStall, stallFactor*j.route.GapTarget)
 		} else if unreported++; unreported == eventsPerReport {
 			grant.Events(unreported)
 			unreported = 0
 		}
+		watch.progress()
 		s.begin(answer)
 		s.events++
 		if _, err := j.writer.Write(event.Raw); err != nil {
@@ -105,16 +95,6 @@
 	}
 }
 
-// readBy returns until when the next event is waited for. Only where the stream
-// can go on elsewhere is a pause a reason to give an endpoint up.
-func (s *relay) readBy(patience time.Duration) time.Time {
-	j := s.job
-	if j.route.Idempotent() && j.attempts < j.route.MaxAttempts {
-		return time.Now().Add(patience)
-	}
-	return time.Time{}
-}
-
 // begin writes the head of the first endpoint's answer.
 func (s *relay) begin(answer *upstream.Answer) {
 	if s.started {
@@ -132,6 +112,3 @@
 	}
 	j.writer.WriteHeader(answer.Status)
 }
-
-// stalled says whether the cause of a loss is that nothing came for too long.
-func stalled(cause error) bool { return errors.Is(cause, os.ErrDeadlineExceeded) }
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -26,7 +27,6 @@
 // that may be better elsewhere.
 func (j *job) readWhole(ctx context.Context, grant *dispatch.Grant, answer *upstream.Answer) result {
 	grant.First()
-	answer.SetReadDeadline(time.Time{})
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
 		err = &upstream.GarbledError{Reason: "an answer that is too long"}
@@ -50,9 +50,11 @@
 	return result{end: delivered}
 }
 
-// endAfter returns Cancelled where the request was ended from this side.
+// endAfter returns Cancelled where the request was ended from this side, unless
+// that was for the endpoint's silence.
 func endAfter(ctx context.Context, end dispatch.End) dispatch.End {
-	if ctx.Err() != nil {
+	moved := new(MovedError)
+	if ctx.Err() != nil && !errors.As(context.Cause(ctx), &moved) {
 		return dispatch.Cancelled
 	}
 	return end
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -32,7 +32,7 @@
 	silentAfter = 1200 * time.Millisecond
 	// toleranceShare is the part of the rules' tolerance by which the bucket is
 	// larger than the burst. The rest covers news that are under way.
-	toleranceShare = 0.65
+	toleranceShare = 0.5
 	// evenPart is added to an instance's part by demand, so that the first
 	// requests of a workspace at an instance fit.
 	evenPart = 0.15
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,179 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"filbertusher/pkg/usher"
+)
+
+// fleet is instances that share a quota over a network with delays and cuts,
+// in simulated time.
+type fleet struct {
+	now       time.Time
+	rules     Rules
+	workspace usher.WorkspaceSpec
+	instances []*Quota
+	names     []string
+	started   int
+	// cut instances hear nobody and are heard by nobody.
+	cut  []bool
+	used []use
+}
+
+type use struct {
+	at   time.Time
+	cost float64
+}
+
+func newFleet(n int, fresh bool) *fleet {
+	f := &fleet{
+		now:       time.Unix(1000, 0),
+		rules:     Rules{Window: 8 * time.Second, Overage: 0.1, Slack: 140000},
+		workspace: usher.WorkspaceSpec{Name: "w", Rate: 250000, Burst: 250000, CountsTokens: true},
+		instances: make([]*Quota, n), names: make([]string, n), cut: make([]bool, n),
+	}
+	for i := range n {
+		f.names[i] = fmt.Sprint("g", i)
+		f.start(i, fresh)
+	}
+	return f
+}
+
+func (f *fleet) start(i int, fresh bool) {
+	f.started++
+	f.instances[i] = New(f.rules, usher.Incarnation(fmt.Sprint(f.started)), fresh, func() time.Time { return f.now })
+	f.instances[i].SetMembers(len(f.instances))
+}
+
+func (f *fleet) exchange() {
+	for i, q := range f.instances {
+		for j, other := range f.instances {
+			if i != j && !f.cut[i] && !f.cut[j] {
+				other.Heard(f.names[i], q.News())
+			}
+		}
+	}
+}
+
+func (f *fleet) ask(i int, cost float64) bool {
+	d := f.instances[i].Ask(&f.workspace, cost)
+	if d.Allowed {
+		d = f.instances[i].Take(&f.workspace, cost)
+	}
+	if d.Allowed {
+		f.used = append(f.used, use{f.now, cost})
+	}
+	return d.Allowed
+}
+
+// worst returns the most that was used in any window.
+func (f *fleet) worst() float64 {
+	worst, sum, from := 0.0, 0.0, 0
+	for _, u := range f.used {
+		sum += u.cost
+		for u.at.Sub(f.used[from].at) >= f.rules.Window {
+			sum -= f.used[from].cost
+			from++
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
+func (f *fleet) limit() float64 {
+	return (f.workspace.Rate*f.rules.Window.Seconds()+f.workspace.Burst)*(1+f.rules.Overage) + f.rules.Slack
+}
+
+// step is the time between two requests of the simulation.
+const step = 20 * time.Millisecond
+
+// Callers ask for up to seven times the quota, at changing instances, while
+// instances restart, alone or all at once, and are cut off.
+func TestSumStaysWithinTheRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 6).Draw(t, "instances")
+		f := newFleet(n, rapid.Bool().Draw(t, "fresh"))
+		load := rapid.Float64Range(0.5, 7).Draw(t, "load")
+		cost := rapid.Float64Range(1000, 20000).Draw(t, "cost")
+		herd := time.Duration(rapid.IntRange(0, 20000).Draw(t, "herd")) * time.Millisecond
+		cutFrom := time.Duration(rapid.IntRange(0, 20000).Draw(t, "cutFrom")) * time.Millisecond
+		single := time.Duration(rapid.IntRange(0, 20000).Draw(t, "single")) * time.Millisecond
+		focus := rapid.IntRange(1, n).Draw(t, "focus")
+		owed := 0.0
+		for passed := time.Duration(0); passed < 24*time.Second; passed += step {
+			f.now = f.now.Add(step)
+			if passed == herd/step*step {
+				for i := range n {
+					f.start(i, false)
+				}
+			}
+			if passed == single/step*step {
+				f.start(0, false)
+			}
+			f.cut[n-1] = passed > cutFrom && passed < cutFrom+5*time.Second
+			if passed%round == 0 {
+				f.exchange()
+			}
+			for owed += load * f.workspace.Rate * step.Seconds(); owed >= cost; owed -= cost {
+				f.ask(int(passed/step)%focus, cost)
+			}
+		}
+		if f.worst() > f.limit() {
+			t.Fatalf("%.0f were used in a window, %.0f may be", f.worst(), f.limit())
+		}
+	})
+}
+
+// A workspace that asks for less than its quota is not refused, wherever its
+// requests arrive and however long they are.
+func TestDemandWithinTheQuotaIsServed(t *testing.T) {
+	f := newFleet(4, true)
+	refused, asked := 0, 0
+	owed := 0.0
+	for passed := time.Duration(0); passed < 20*time.Second; passed += step {
+		f.now = f.now.Add(step)
+		if passed%round == 0 {
+			f.exchange()
+		}
+		cost := []float64{3000, 60000, 7000}[asked%3]
+		for owed += 0.8 * f.workspace.Rate * step.Seconds(); owed >= cost; owed -= cost {
+			asked++
+			// The load moves from one instance to another every second.
+			if !f.ask(int(passed/time.Second)%4, cost) {
+				refused++
+			}
+		}
+	}
+	if refused*50 > asked {
+		t.Errorf("%d of %d requests within the quota were refused", refused, asked)
+	}
+}
+
+// A process that is replaced while others run takes over what they know.
+func TestReplacedProcessTakesTheLevelOver(t *testing.T) {
+	f := newFleet(3, true)
+	f.ask(0, 1000)
+	f.exchange()
+	f.start(0, false)
+	f.exchange()
+	if !f.ask(0, 100000) {
+		t.Error("a request was refused after a restart although the bucket is nearly full")
+	}
+}
+
+func TestSilentInstancesKeepAnEqualPart(t *testing.T) {
+	f := newFleet(4, true)
+	f.exchange()
+	for i := range f.cut {
+		f.cut[i] = true
+	}
+	f.now = f.now.Add(2 * time.Second)
+	d := f.instances[0].Ask(&f.workspace, 1)
+	if d.Silent != 3 || d.Level > f.instances[0].size(&f.workspace)/4+1 {
+		t.Errorf("an instance that hears nobody sees %.0f and %d silent ones", d.Level, d.Silent)
+	}
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,107 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"filbertusher/internal/boottime"
+	"filbertusher/pkg/usher"
+)
+
+func table(version usher.Version) *usher.RouteTable {
+	return &usher.RouteTable{
+		Version: version,
+		Routes: []usher.Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Split: []usher.ServiceShare{{Service: "one", Weight: 1}}},
+			{Name: "long", Host: "A.example", Prefix: "/x/y/", Split: []usher.ServiceShare{{Service: "one", Weight: 90}, {Service: "two", Weight: 10}}},
+		},
+		Workspaces: []usher.WorkspaceSpec{{Name: "w", Credentials: []string{"k1", "k2"}}},
+	}
+}
+
+func ExampleIndex_Route() {
+	index := New(table(1))
+	fmt.Println(index.Route("a.example:80", "/x/y/z?q=/x/").Name, index.Route("a.example", "/x/yy").Name, index.Route("a.example", "/"))
+	// Output: long short <nil>
+}
+
+func TestRoute(t *testing.T) {
+	index := New(table(1))
+	for path, want := range map[string]usher.RouteName{
+		"/x/": "short", "/x/y": "short", "/x/y/": "long", "/x/y/z/": "long", "/X/y/": "", "/x": "", "": "",
+	} {
+		got := usher.RouteName("")
+		if route := index.Route("A.EXAMPLE", path); route != nil {
+			got = route.Name
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("%q: %s", path, diff)
+		}
+	}
+	if index.Route("b.example", "/x/") != nil {
+		t.Error("a route of another host was found")
+	}
+	if index.Workspace("k2") == nil || index.Workspace("") != nil {
+		t.Error("credentials are not found as declared")
+	}
+}
+
+func TestPickFollowsWeights(t *testing.T) {
+	route := &table(1).Routes[1]
+	counts := map[usher.ServiceName]int{}
+	for i := range 5000 {
+		id := usher.RequestID(fmt.Sprint(i))
+		picked := Pick(route, id)
+		if Pick(route, id) != picked {
+			t.Fatal("the same request went two ways")
+		}
+		counts[picked]++
+	}
+	if counts["two"] < 350 || counts["two"] > 650 {
+		t.Errorf("the service with a tenth of the weight got %d of 5000", counts["two"])
+	}
+	route.Split[1].Weight = 0
+	if Sends(route, "two") {
+		t.Error("a service without weight may not get requests")
+	}
+}
+
+// The holder is told versions and proofs in any order, as store and peers do.
+func TestHolderOnlyGoesForward(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		holder := NewHolder(nil)
+		highest := usher.Version(0)
+		var proven boottime.Time
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			version := usher.Version(rapid.IntRange(1, 9).Draw(t, "version"))
+			if rapid.Bool().Draw(t, "adopt") {
+				if adopted := holder.Adopt(table(version), "test"); adopted != (version > highest) {
+					t.Fatalf("adopting %d over %d: %v", version, highest, adopted)
+				}
+				if version > highest {
+					highest, proven = version, 0
+				}
+			} else {
+				at := boottime.Now().Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond)
+				holder.Prove(version, at)
+				if version == highest {
+					proven = max(proven, at)
+				}
+			}
+			if holder.Version() != highest {
+				t.Fatalf("version %d is in force, %d was seen", holder.Version(), highest)
+			}
+			if proven == 0 {
+				if holder.Age() < time.Hour {
+					t.Fatal("a configuration without a proof has an age")
+				}
+			} else if younger := holder.Age() < boottime.Since(proven)-time.Second; younger {
+				t.Fatal("the configuration is taken for younger than its proof")
+			}
+		}
+	})
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -80,9 +80,6 @@
 	// Once marks a request that must not be lost to a connection that the
 	// endpoint closes at the same moment.
 	Once bool
-	// HeadBy is until when the head of the answer is waited for; zero means that
-	// only the context bounds the wait.
-	HeadBy time.Time
 }
 
 // Answer is the head of an answer with its body still to be read. Close has to
@@ -141,7 +138,6 @@
 		return nil, &NotSentError{Cause: err}
 	}
 	stop := context.AfterFunc(ctx, c.abort)
-	_ = c.SetReadDeadline(request.HeadBy)
 	written := c.write(request)
 	answer, err := p.await(c, request, written)
 	if err != nil {
@@ -230,9 +226,6 @@
 // Reused says whether the answer came on a connection that had served before.
 func (a *Answer) Reused() bool { return a.conn.served > 0 }
 
-// SetReadDeadline bounds the wait for more of the body.
-func (a *Answer) SetReadDeadline(at time.Time) { _ = a.conn.SetReadDeadline(at) }
-
 // Close ends the exchange. whole says that the body was read to its end; only
 // then, and if the endpoint took in the whole request, is the connection kept.
 func (a *Answer) Close(whole bool) {
