Prove the configuration by exact reads, shared between instances

Change: a read of the configuration whenever no proof is younger than 0.9 s, which peers pass on; a proof counts up to 0.92 of the bound.

--- a/internal/dispatch/density.go
+++ b/internal/dispatch/density.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "filbertusher/pkg/usher"
+import (
+	"math"
+
+	"filbertusher/pkg/usher"
+)
 
 const (
 	// answerWeight is what a token of the answer counts for beside one of the
@@ -19,6 +23,9 @@
 // density returns the worth of a request for the time that it takes of a place.
 // Its scale has no meaning; it only orders the requests of one rank.
 func (v *service) density(ask *Ask) float64 {
+	if ask.Started {
+		return math.Inf(1)
+	}
 	if !v.spec.Engine {
 		return 1
 	}
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -229,7 +229,7 @@
 func (s *Scheduler) dismiss(v *service, rank int, now time.Time) {
 	for {
 		w := v.line.last(rank)
-		if w == nil {
+		if w == nil || w.ask.Started {
 			return
 		}
 		why := "too many requests wait"
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -27,10 +27,13 @@
 const (
 	// fewInstances is up to how many instances the pauses hold.
 	fewInstances = 8
-	// routesWait is how long one watch of the configuration waits. Each reply
-	// proves the configuration as of its call, so this bounds the age of proofs.
-	routesWait     = 1200 * time.Millisecond
-	mostRoutesWait = 2400 * time.Millisecond
+	// routesWait is how long one watch of the configuration waits.
+	routesWait = 5 * time.Second
+	// proofAge is how old the proof of the configuration gets before this process
+	// asks for another, and proofEvery how often it looks. Peers pass proofs on,
+	// so that of many instances only some have to ask.
+	proofAge   = 900 * time.Millisecond
+	proofEvery = 100 * time.Millisecond
 	// endpointsWait is how long one watch of the endpoints waits.
 	endpointsWait = 5 * time.Second
 	// endpointsPace is the least time between two watches of the endpoints,
@@ -110,6 +113,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { f.routes(ctx); return nil })
+	group.Go(func() error { f.proofs(ctx); return nil })
 	group.Go(func() error { f.endpoints(ctx); return nil })
 	group.Go(func() error { f.instances(ctx); return nil })
 	return group.Wait()
@@ -121,12 +125,10 @@
 }
 
 func (f *Follower) routes(ctx context.Context) {
-	// seen is the version that the watch knows. Only that one can be proven by
-	// hearing nothing; a peer may have told a newer one.
-	var since, seen usher.Version
+	var since usher.Version
 	retry := backoff{}
 	for ctx.Err() == nil {
-		began := boottime.Now()
+		began, listed := boottime.Now(), since == 0
 		table, next, err := f.nextRoutes(ctx, since)
 		if err != nil {
 			if lost := new(usher.HistoryLostError); errors.As(err, &lost) {
@@ -149,9 +151,11 @@
 		since = next
 		if table != nil {
 			f.options.Routes.Adopt(table, "store")
-			seen = table.Version
+			// A watch proves nothing: it may have heard of the change late.
+			if listed {
+				f.options.Routes.Prove(table.Version, began)
+			}
 		}
-		f.options.Routes.Prove(seen, began)
 	}
 }
 
@@ -170,10 +174,37 @@
 		defer cancel()
 		return f.options.Directory.Routes(limited)
 	}
-	wait := f.paced(routesWait, mostRoutesWait)
-	limited, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	limited, cancel := context.WithTimeout(ctx, routesWait+callTimeout)
 	defer cancel()
-	return f.options.Directory.WatchRoutes(limited, since, wait)
+	return f.options.Directory.WatchRoutes(limited, since, routesWait)
+}
+
+// proofs asks for the configuration whenever nobody has proven for a while that
+// the one in force is the newest.
+func (f *Follower) proofs(ctx context.Context) {
+	retry := backoff{}
+	due := proofAge
+	for ctx.Err() == nil {
+		pause.For(ctx, proofEvery)
+		if f.options.Routes.Index() == nil || f.options.Routes.Age() < due {
+			continue
+		}
+		// Instances that see the same proof should not all ask at once.
+		due = proofAge/2 + time.Duration(rand.Int64N(int64(proofAge/2)))
+		began := boottime.Now()
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		table, _, err := f.options.Directory.Routes(limited)
+		cancel()
+		if err != nil {
+			f.store.failed(ctx, "proof", err)
+			retry.wait(ctx)
+			continue
+		}
+		f.store.worked()
+		retry.reset()
+		f.options.Routes.Adopt(table, "store")
+		f.options.Routes.Prove(table.Version, began)
+	}
 }
 
 func (f *Follower) endpoints(ctx context.Context) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,9 +43,8 @@
 
 const (
 	// proofShare is the part of the revocation bound up to which a proof of the
-	// configuration counts. The rest covers watches that are a second behind
-	// and the way of a request.
-	proofShare = 0.78
+	// configuration counts. The rest is the way of a request to the endpoint.
+	proofShare = 0.92
 	// readyShare is the part up to which an instance calls itself ready.
 	readyShare = 0.6
 	// headerTimeout bounds how long a caller may take to send the head of a
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -88,7 +88,7 @@
 		return
 	}
 	g := m.job.gateway
-	if g.Budget.Left(m.job.service) >= 1 {
+	if g.Budget.Left(m.job.service) >= 1 && g.fresh() {
 		m.next = g.Scheduler.Try(m.ask)
 	}
 	if m.next == nil || !g.Budget.Spend(m.job.service) {
--- /dev/null
+++ b/test/gateway/site_test.go
@@ -0,0 +1,250 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"filbertusher/internal/standin/fleet"
+	"filbertusher/internal/standin/store"
+	"filbertusher/pkg/usher"
+)
+
+var binaries fleet.Binaries
+
+func TestMain(m *testing.M) { os.Exit(fleet.RunTests(&binaries, m.Run)) }
+
+// patience ends what hangs; no verdict depends on it otherwise.
+const patience = 10 * time.Second
+
+// site is a small deployment: the platform's store, replicas of a model and of
+// a plain service, and gateways as processes of their own.
+type site struct {
+	t        *testing.T
+	memory   *store.Memory
+	store    *httptest.Server
+	version  int
+	routes   []map[string]any
+	keys     []string
+	quota    float64
+	revokeMS int
+	gateways []*gateway
+}
+
+type gateway struct {
+	*fleet.Process
+	config    string
+	callers   string
+	readiness string
+	metrics   string
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, memory: store.NewMemory(), keys: []string{"key"}, revokeMS: 2000}
+	server := store.New(s.memory, store.Budget{ReadsPerSecond: 2000, WritesPerSecond: 400}, 0)
+	s.store = httptest.NewServer(server.Handler())
+	t.Cleanup(s.store.Close)
+	s.routes = []map[string]any{
+		{"name": "order", "hostname": "site.example", "path_prefix": "/order/", "route_type": "unsafe", "timeout_ms": 4000, "target_latency_ms": 500, "priority": 2, "service": "desk", "max_attempts": 1},
+		{"name": "check", "hostname": "site.example", "path_prefix": "/check/", "route_type": "safe", "timeout_ms": 4000, "target_latency_ms": 500, "priority": 2, "service": "desk", "max_attempts": 2},
+		{"name": "plan", "hostname": "site.example", "path_prefix": "/plan/", "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 500, "priority": 0, "service": "model", "max_attempts": 2, "stream_resume": true, "gap_aim_ms": 300},
+		{"name": "question", "hostname": "site.example", "path_prefix": "/question/", "route_type": "streaming", "timeout_ms": 15000, "target_latency_ms": 500, "priority": 1, "service": "model", "max_attempts": 1, "gap_aim_ms": 300},
+	}
+	s.configure()
+	return s
+}
+
+// configure writes the next version of the configuration, as the operator does.
+func (s *site) configure() {
+	s.version += 3
+	s.write("config/main", map[string]any{
+		"version": s.version, "routes": s.routes,
+		"services": []map[string]any{
+			{"name": "model", "max_connections": 100, "engine": map[string]any{"slots": 4, "stride": 5}},
+			{"name": "desk", "max_connections": 100},
+			{"name": "desk2", "max_connections": 100},
+		},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{"name": "school", "api_keys": s.keys, "unit": "tokens", "plain_tokens": 200, "rate_per_s": s.quota, "burst": s.quota}},
+	})
+}
+
+func (s *site) write(key usher.ObjectKey, spec any) {
+	s.t.Helper()
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	current, _ := s.memory.Get(key)
+	if _, written := s.memory.Write(key, current.Version, encoded, false); !written {
+		s.t.Fatalf("%s was changed by somebody else", key)
+	}
+}
+
+// register puts a replica into the store.
+func (s *site) register(r *replica, state string) {
+	s.write(usher.ObjectKey("servers/"+r.id), map[string]any{
+		"service": r.service, "address": r.address(), "zone": "z1", "version": "v1", "slots": cap(r.places),
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1700000000000,
+	})
+}
+
+func (s *site) deregister(r *replica) {
+	key := usher.ObjectKey("servers/" + r.id)
+	current, _ := s.memory.Get(key)
+	s.memory.Write(key, current.Version, nil, true)
+}
+
+// fault sets a fault of the store.
+func (s *site) fault(faults store.Faults) {
+	s.t.Helper()
+	encoded, err := json.Marshal(faults)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, s.store.URL+"/control/faults", bytes.NewReader(encoded))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	_ = response.Body.Close()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.1.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// settings returns the settings file of a gateway, as the platform writes it.
+func (s *site) settings(name string, addresses [3]string, seeds string) string {
+	return fmt.Sprintf(`node_name = %q
+role = "gateway"
+ip = "127.0.1.3"
+zone = "z1"
+seeds = [%s]
+bootstrap = true
+a_field_that_nobody_knows = { yet = true }
+[listen]
+frontend = %q
+readiness = %q
+control_plane = %q
+[limits]
+memory_mb = 200
+max_fds = 4000
+[bounds]
+grace_s = 6
+strict_revocation = true
+revoke_ms = %d
+retry_budget_ratio = 0.2
+retry_budget_extra = 50
+budget_window_s = 10
+quota_window_s = 8
+quota_overage = 0.1
+quota_slack = 1000
+[platform]
+address = %q
+form = "objects"
+`, name, seeds, addresses[0], addresses[1], addresses[2], s.revokeMS, s.store.Listener.Addr().String())
+}
+
+func (s *site) gateway(name string) *gateway {
+	s.t.Helper()
+	addresses := [3]string{freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)}
+	g := &gateway{config: filepath.Join(s.t.TempDir(), name+".toml"), callers: addresses[0], readiness: addresses[1], metrics: freeAddress(s.t)}
+	if err := os.WriteFile(g.config, []byte(s.settings(name, addresses, "")), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	s.start(g)
+	return g
+}
+
+func (s *site) start(g *gateway) {
+	s.t.Helper()
+	_, port, err := net.SplitHostPort(g.metrics)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	started, err := fleet.Start("gateway", binaries.Product, "gateway", "--config", g.config, "--metrics-port", port)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	g.Process = started
+	s.t.Cleanup(started.Kill)
+	s.until("the gateway is ready", func() bool { return g.ready() == http.StatusOK })
+}
+
+// ready returns what the balancer is told.
+func (g *gateway) ready() int {
+	response, err := http.Get("http://" + g.readiness + "/v1/readyz")
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func (s *site) until(what string, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("waited in vain until %s", what)
+		}
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+	// closes says that the instance announced to close the connection.
+	closes bool
+}
+
+// call sends a request as a caller of the platform does.
+func (g *gateway) call(ctx context.Context, method, path, id string, header ...string) reply {
+	var body io.Reader
+	if method == http.MethodPost {
+		body = strings.NewReader(`{"a": "request"}`)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callers+path, body)
+	if err != nil {
+		return reply{err: err}
+	}
+	request.Host = "site.example"
+	request.Header.Set("X-Filbertusher-Attempt-Id", id)
+	request.Header.Set("X-Filbertusher-Deadline-Ms", "4000")
+	request.Header.Set("X-Filbertusher-Credential", "key")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(text), err: err, closes: response.Close}
+}
