Let a proof of the configuration hold for the versions that follow

Change: at the moment of a proof nothing above the version in force had been accepted; a later version was accepted after that moment, so the proof holds for it.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -187,9 +187,7 @@
 	p.learn(&reply)
 	// The peer answered after it was asked, so its proof is at least as young
 	// as one of that age at the moment of asking.
-	if reply.Version == p.parts.Routes.Version() {
-		p.parts.Routes.Prove(reply.Version, asked.Add(-reply.ProofAge))
-	}
+	p.parts.Routes.Prove(reply.Version, asked.Add(-reply.ProofAge))
 	p.catchUp(ctx, known, &reply)
 }
 
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -44,21 +44,22 @@
 	if table == nil || (table.Version <= from && h.index.Load() != nil) {
 		return false
 	}
+	// The proof stays: what was the newest then was followed by this version, so
+	// no later one had been accepted at that moment either.
 	h.index.Store(New(table))
-	// A proof speaks of one version.
-	h.proven.Store(0)
 	if h.changed != nil {
 		h.changed(from, table.Version, source)
 	}
 	return true
 }
 
-// Prove notes that the version was the newest one at an instant. A proof of
-// another version than the one in force says nothing.
+// Prove notes that the version was the newest one at an instant or later. Then
+// no version above the one in force had been accepted at that instant, unless
+// this process is behind.
 func (h *Holder) Prove(version usher.Version, at boottime.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if version != h.Version() || int64(at) <= h.proven.Load() {
+	if h.index.Load() == nil || version > h.Version() || int64(at) <= h.proven.Load() {
 		return
 	}
 	h.proven.Store(int64(at))
