Fill no place twice: smoothed parts, and an even part of what is free

Change: parts are followed slowly; beyond its part an instance takes an even part of what the last news left free.

Ruled out: the order of maps, which changes which engine is taken and not how many.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -86,6 +86,8 @@
 	arrivals [ranks]rate
 	// durations are how long requests of each rank take, once granted.
 	durations [ranks]time.Duration
+	// parts are the parts of the places that belong to each member.
+	parts []float64
 	// sizes are the mean sizes of the requests of each rank.
 	sizes  [ranks]float64
 	prefix *prefixes
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -59,6 +59,8 @@
 	// members for rounding.
 	entitled int
 	order    []int
+	// reach is how many requests may be here until the next news of the others.
+	reach int
 
 	// ratio is how much longer first events take than the model says, and pace
 	// the time between events; both follow what was seen.
@@ -88,8 +90,8 @@
 }
 
 // room says whether this instance may send one more request to the endpoint.
-// It may up to its own part of the places, and beyond that where the news of
-// the others leave so many free that not all can reach for them at once.
+// It may up to its own part of the places, and until the next news beyond that
+// up to an even part of those that the others leave free.
 //
 // Plain services queue a little and refuse what is beyond, and their requests
 // are shorter than the news of the others are old, so there an instance always
@@ -106,7 +108,7 @@
 	if free <= 0 {
 		return false
 	}
-	return e.own.Running < e.entitled || free > len(s.members)/2
+	return e.own.Running < max(e.entitled, e.reach)
 }
 
 // first returns the expected time to the first event of a request.
--- a/internal/dispatch/line.go
+++ b/internal/dispatch/line.go
@@ -204,7 +204,8 @@
 		until = now.Add(startedPatience)
 	} else if ask.Target.After(now) {
 		span := ask.Target.Sub(ask.Arrived)
-		until = ask.Target.Add(-min(time.Duration(float64(span)*mostBegin), s.quickest(v, ask, now)))
+		begin := min(time.Duration(float64(span)*mostBegin), s.quickest(v, ask, now))
+		until = ask.Target.Add(-max(begin, 2*tick))
 	}
 	if ask.Deadline.Before(until) {
 		until = ask.Deadline
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -37,6 +37,8 @@
 	// leastDemand is what an instance without callers counts for, in places, so
 	// that its first ones find one.
 	leastDemand = 1.0
+	// partLearning is the weight of newly worked out parts.
+	partLearning = 0.25
 	// firstDuration is how long a request is taken to last until one has ended.
 	firstDuration = 500 * time.Millisecond
 )
@@ -178,13 +180,27 @@
 		for _, e := range v.engines {
 			places += e.slots(v.spec)
 		}
-		parts := divide(demands, float64(places))
+		parts := v.smooth(divide(demands, float64(places)))
 		for _, e := range v.engines {
 			e.entitled = entitled(parts, e.order, slices.Index(s.members, s.options.Self), e.slots(v.spec))
 		}
 	}
 }
 
+// smooth follows the parts slowly. Instances work them out at different moments
+// from news of different age, and a place that two of them count as theirs is
+// filled twice.
+func (v *service) smooth(parts []float64) []float64 {
+	if len(v.parts) != len(parts) {
+		v.parts = parts
+		return parts
+	}
+	for i := range parts {
+		v.parts[i] += (parts[i] - v.parts[i]) * partLearning
+	}
+	return v.parts
+}
+
 func (s *Scheduler) addLoads() {
 	for _, v := range s.services {
 		for _, e := range v.engines {
@@ -201,6 +217,12 @@
 			}
 		}
 	}
+	for _, v := range s.services {
+		for _, e := range v.engines {
+			free := max(0, e.slots(v.spec)-e.own.Running-e.others.Running)
+			e.reach = e.own.Running + free/len(s.members)
+		}
+	}
 }
 
 // demands returns the demand of each member, in the order of the members.
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -369,6 +369,7 @@
 	for _, e := range s.engines {
 		over += e.overfull
 	}
+	t.Logf("%d of %d requests found their engine full", over, len(s.sent))
 	if over*20 > len(s.sent) {
 		t.Errorf("%d of %d requests found their engine full", over, len(s.sent))
 	}
