Keep the record of what was decided on the platform's store

Cause: the gateway logged decisions but kept none, and an inspector asks years later.

Change: the product's recorder writes the gateway's decisions: batched for 5 s, compressed, chained, in objects of the kind record; 'record show' and 'record verify' read them over the platform's protocol. Copies at other gateways are not kept yet: a process that dies loses its last 5 s.

--- a/Makefile
+++ b/Makefile
@@ -21,10 +21,10 @@
 	$(GO) test -race -count=1 $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
 
 fmt:
-	$(TOOL) gofumpt -w cmd internal pkg test
+	$(TOOL) gofumpt -w cmd internal pkg platform test
 
 fmt-check:
-	@out="$$($(TOOL) gofumpt -l cmd internal pkg test)"; \
+	@out="$$($(TOOL) gofumpt -l cmd internal pkg platform test)"; \
 	if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
 
 lint:
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -26,11 +26,13 @@
 	"filbertusher/internal/link"
 	"filbertusher/internal/peering"
 	"filbertusher/internal/quota"
+	"filbertusher/internal/record"
 	"filbertusher/internal/roster"
 	"filbertusher/internal/routing"
 	"filbertusher/internal/suspect"
 	"filbertusher/internal/telemetry"
 	"filbertusher/internal/upstream"
+	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 	"filbertusher/platform"
 )
@@ -58,6 +60,13 @@
 	poolSweepEvery = time.Second
 	// seedsEvery is the pause between two rounds of asking seeds.
 	seedsEvery = 300 * time.Millisecond
+	// recordInterval is how long decisions are gathered, and so how many are lost
+	// with a process.
+	recordInterval = 5 * time.Second
+	// recordWrites is the part of the store's writes that the record may use, and
+	// recordMemoryPart the part of the memory, as a divisor.
+	recordWrites     = 0.1
+	recordMemoryPart = 10
 	// defaultMetricsPort is where metrics are served.
 	defaultMetricsPort = 9101
 )
@@ -81,6 +90,18 @@
 	follower  *follow.Follower
 	peering   *peering.Peering
 	gateway   *gateway.Gateway
+	recorder  *record.Recorder
+}
+
+// noPeers says that no other process holds copies of the record.
+type noPeers struct{}
+
+// Names implements record.Peers.
+func (noPeers) Names() []usher.EndpointName { return nil }
+
+// Exchange implements record.Peers; it is never called without names.
+func (noPeers) Exchange(_ context.Context, endpoint usher.EndpointName, _ *wire.RecordArgs) (*wire.RecordReply, error) {
+	return nil, &usher.NotFoundError{Key: usher.ObjectKey(endpoint)}
 }
 
 func newGatewayCommand() *Command {
@@ -143,9 +164,12 @@
 		Routes: p.routes, Roster: p.roster, Scheduler: p.scheduler, Quota: p.quota, Suspects: p.suspects,
 		Log: p.log, RosterAge: p.follower.RosterAge, EndpointsChanged: p.feedScheduler,
 	})
+	p.recorder = record.NewRecorder(record.Options{
+		Interval: recordInterval, WritesPerSecond: s.StoreWrites * recordWrites, Limit: s.MemoryBytes / recordMemoryPart,
+	}, client, self.Incarnation, p.log)
 	p.gateway = gateway.New(gateway.Options{Revocation: s.Bounds.Revocation}, gateway.Dependencies{
 		Dialect: platform.Dialect{}, Routes: p.routes, Scheduler: p.scheduler, Pool: p.pool,
-		Quota: p.quota, Budget: p.budget, Suspects: p.suspects, Log: p.log,
+		Quota: p.quota, Budget: p.budget, Suspects: p.suspects, Recorder: p.recorder, Log: p.log,
 	})
 }
 
@@ -202,6 +226,7 @@
 	p.admin.Section("dispatch", p.scheduler.State)
 	p.admin.Section("peers", p.peering.State)
 	p.admin.Section("suspects", p.suspects.State)
+	p.admin.Section("record", p.recorder.State)
 
 	// requests holds the requests in flight; it ends at the last moment, the
 	// rest of the process after them.
@@ -215,6 +240,7 @@
 	group.Go(func() error { return p.peering.Serve(ctx, link.NewServer(peers)) })
 	group.Go(func() error { return p.admin.Serve(ctx) })
 	group.Go(func() error { return p.follower.Run(ctx) })
+	group.Go(func() error { return p.recorder.Run(ctx, noPeers{}) })
 	group.Go(func() error { p.askSeeds(ctx); return nil })
 	group.Go(func() error { p.sweepPool(ctx); return nil })
 	group.Go(func() error { p.reload(ctx); return nil })
@@ -268,6 +294,7 @@
 	}
 	last, done := context.WithTimeout(context.Background(), withdrawTimeout)
 	defer done()
+	p.recorder.Close(last)
 	if err := p.follower.Withdraw(last); err != nil {
 		p.log.Warn().Err(err).Msg("notWithdrawn")
 	}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"hash"
 	"io"
 	"net/http"
 	"time"
@@ -35,6 +36,11 @@
 	charged bool
 	earned  bool
 
+	// digest sums up the answer's body for the record.
+	digest  hash.Hash
+	length  int64
+	refusal usher.RefusalKind
+
 	// What the log tells at the end.
 	attempts int
 	endpoint usher.EndpointName
@@ -43,7 +49,7 @@
 	inside   int
 	first    time.Duration
 	status   int
-	outcome  string
+	outcome  usher.Outcome
 	detail   string
 }
 
@@ -84,6 +90,9 @@
 		return refusal
 	}
 	j.setDeadline()
+	if err := j.gateway.Recorder.Accept(j.rank()); err != nil {
+		return asRefusal(err)
+	}
 	if refusal := j.checkSuspect(); refusal != nil {
 		return refusal
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,6 +31,7 @@
 	Quota     *quota.Quota
 	Budget    *budget.Budget
 	Suspects  *suspect.Table
+	Recorder  usher.Recorder
 	Log       zerolog.Logger
 }
 
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -48,7 +48,7 @@
 // the part for the whole.
 func (j *job) end(stream *relay, refusal *usher.Refusal) {
 	if stream.started {
-		j.outcome, j.detail = string(usher.OutcomeUnknown), "cut: "+refusal.Message
+		j.outcome, j.refusal, j.detail = usher.OutcomeUnknown, refusal.Kind, "cut: "+refusal.Message
 		panic(http.ErrAbortHandler)
 	}
 	j.refuse(refusal)
@@ -61,7 +61,7 @@
 		// To the caller it is a refusal like any other that did not run.
 		status = http.StatusServiceUnavailable
 	}
-	j.status, j.outcome = status, string(refusal.Outcome)
+	j.status, j.outcome, j.refusal = status, refusal.Outcome, refusal.Kind
 	if j.detail == "" {
 		j.detail = string(refusal.Kind) + ": " + refusal.Message
 	} else {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -20,6 +20,7 @@
 	g := j.gateway
 	total := time.Since(j.arrived)
 	g.metrics.ended(j, total)
+	j.record(total)
 	if !g.lines.allow() {
 		return
 	}
@@ -27,7 +28,7 @@
 	if j.status >= 500 || j.status == 0 {
 		event = g.Log.Warn()
 	}
-	event = event.Str("request", string(j.head.ID)).Int("status", j.status).Str("outcome", j.outcome)
+	event = event.Str("request", string(j.head.ID)).Int("status", j.status).Str("outcome", string(j.outcome))
 	if j.route != nil {
 		event = event.Str("route", string(j.route.Name)).Str("service", string(j.service)).Int("rank", int(j.rank()))
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,7 +44,7 @@
 	answer.Close(errors.Is(err, io.EOF))
 	if s.broken {
 		grant.End(dispatch.Cancelled)
-		j.outcome, j.detail = string(usher.OutcomeUnknown), "the caller stopped to read"
+		j.outcome, j.detail = usher.OutcomeUnknown, "the caller stopped to read"
 		panic(http.ErrAbortHandler)
 	}
 	if !errors.Is(err, io.EOF) {
@@ -56,7 +56,7 @@
 		// A stream without events is an answer like any other.
 		s.begin(answer)
 	}
-	j.outcome = string(usher.OutcomeRan)
+	j.outcome = usher.OutcomeRan
 	return result{end: delivered}
 }
 
@@ -80,6 +80,7 @@
 		watch.progress()
 		s.begin(answer)
 		s.events++
+		j.noteAnswer(event.Raw)
 		if _, err := j.writer.Write(event.Raw); err != nil {
 			s.broken = true
 			return err
--- a/internal/gateway/whole.go
+++ b/internal/gateway/whole.go
@@ -89,7 +89,7 @@
 func (j *job) deliver(answer *whole) {
 	j.first = time.Since(j.arrived)
 	j.status = answer.status
-	j.outcome = string(usher.OutcomeRan)
+	j.outcome = usher.OutcomeRan
 	header := j.writer.Header()
 	for name, values := range j.gateway.Dialect.Deliver(answer.header) {
 		header[name] = values
@@ -101,5 +101,6 @@
 	if j.request.Method == http.MethodHead {
 		return
 	}
+	j.noteAnswer(answer.body)
 	_, _ = j.writer.Write(answer.body)
 }
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -384,3 +384,23 @@
 		}
 	}
 }
+
+// An inspector finds what was decided, and the record verifies.
+func TestRecordAnswersAnInspector(t *testing.T) {
+	s := newSite(t)
+	desk := newReplica(t, "d1", "desk", 4, 0)
+	s.register(desk, "ready")
+	g := s.gateway("g1")
+	s.served(g, "/check/a")
+	g.call(t.Context(), http.MethodPost, "/order/a", "order-17")
+	g.Signal(syscall.SIGTERM)
+	<-g.Exited()
+	address := s.store.Listener.Addr().String()
+	found, err := exec.Command(binaries.Product, "record", "show", "--store", address, "order-17").CombinedOutput()
+	if err != nil || !strings.Contains(string(found), "school") || !strings.Contains(string(found), "d1") {
+		t.Errorf("%v: %s", err, found)
+	}
+	if verified, err := exec.Command(binaries.Product, "record", "verify", "--store", address).CombinedOutput(); err != nil {
+		t.Errorf("%v: %s", err, verified)
+	}
+}
--- a/test/gateway/site_test.go
+++ b/test/gateway/site_test.go
@@ -163,6 +163,7 @@
 [platform]
 address = %q
 form = "objects"
+writes_per_s = 400
 `, name, seeds, addresses[0], addresses[1], addresses[2], s.revokeMS, s.store.Listener.Addr().String())
 }
 
