Let entries lapse only after an outage that is long enough for it

Change: an outage counts from 1.8 s of silence of all calls on; expired entries are dropped by a timer; watches of many instances are at most 0.9 s apart.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,7 +39,14 @@
 	// endpointsPace is the least time between two watches of the endpoints,
 	// whose entries change all the time.
 	endpointsPace     = 450 * time.Millisecond
-	mostEndpointsPace = 1300 * time.Millisecond
+	mostEndpointsPace = 900 * time.Millisecond
+	// expireEvery is how often lapsed endpoints are looked at, and staleRoster how
+	// old the last word of the store may be for that.
+	expireEvery = 100 * time.Millisecond
+	staleRoster = endpointsWait + callTimeout
+	// lapsePossible is how long the store has to be away for entries to lapse that
+	// their endpoints renew every second or so.
+	lapsePossible = 1800 * time.Millisecond
 	// announceEvery is how often an instance tells that it is there.
 	announceEvery     = 3 * time.Second
 	mostAnnounceEvery = 12 * time.Second
@@ -97,7 +104,13 @@
 
 // New returns a follower. Run starts it.
 func New(options Options) *Follower {
-	return &Follower{options: options, store: dependency{name: "store", log: options.Log}, beats: make(map[string]beat)}
+	f := &Follower{options: options, store: dependency{name: "store", log: options.Log}, beats: make(map[string]beat)}
+	f.store.back = func(away time.Duration) {
+		if away > lapsePossible {
+			options.Roster.Disturbed()
+		}
+	}
+	return f
 }
 
 // RosterAge returns how long ago the store last confirmed the roster.
@@ -115,6 +128,7 @@
 	group.Go(func() error { f.routes(ctx); return nil })
 	group.Go(func() error { f.proofs(ctx); return nil })
 	group.Go(func() error { f.endpoints(ctx); return nil })
+	group.Go(func() error { f.expire(ctx); return nil })
 	group.Go(func() error { f.instances(ctx); return nil })
 	return group.Wait()
 }
@@ -210,7 +224,6 @@
 func (f *Follower) endpoints(ctx context.Context) {
 	var since usher.Version
 	retry := backoff{}
-	var lastWorked time.Time
 	for ctx.Err() == nil {
 		began := boottime.Now()
 		changes, next, err := f.nextEndpoints(ctx, since)
@@ -227,18 +240,11 @@
 		}
 		f.store.worked()
 		retry.reset()
-		if !lastWorked.IsZero() && time.Since(lastWorked) > endpointsWait+callTimeout {
-			f.options.Roster.Disturbed()
-		} else if f.store.regainedSince(lastWorked) {
-			f.options.Roster.Disturbed()
-		}
-		lastWorked = time.Now()
 		if since == 0 {
 			f.options.Roster.Replace(changes, next)
 		} else {
 			f.options.Roster.Apply(changes, next)
 		}
-		f.options.Roster.Expire()
 		f.options.EndpointsChanged()
 		f.confirmed.Store(int64(began))
 		since = next
@@ -246,6 +252,17 @@
 	}
 }
 
+// expire drops the endpoints that did not come back after an outage. It does not
+// wait for the next watch, which may hear nothing for a while.
+func (f *Follower) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.For(ctx, expireEvery)
+		if f.RosterAge() < staleRoster && f.options.Roster.Expire() {
+			f.options.EndpointsChanged()
+		}
+	}
+}
+
 func (f *Follower) nextEndpoints(ctx context.Context, since usher.Version) ([]usher.EndpointChange, usher.Version, error) {
 	if since == 0 {
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
@@ -317,11 +334,12 @@
 type dependency struct {
 	name string
 	log  zerolog.Logger
+	// back is told for how long nothing was heard, when something is again.
+	back func(away time.Duration)
 
-	mu       sync.Mutex
-	lost     bool
-	since    time.Time
-	regained time.Time
+	mu    sync.Mutex
+	lost  bool
+	heard time.Time
 }
 
 func (d *dependency) failed(ctx context.Context, what string, cause error) {
@@ -333,24 +351,27 @@
 	if d.lost {
 		return
 	}
-	d.lost, d.since = true, time.Now()
+	d.lost = true
 	d.log.Warn().Err(cause).Str("dependency", d.name).Str("call", what).Msg("dependencyLost")
 }
 
 func (d *dependency) worked() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
+	away := now.Sub(d.heard)
+	if d.heard.IsZero() {
+		away = 0
+	}
+	d.heard = now
 	if !d.lost {
 		return
 	}
-	d.lost, d.regained = false, time.Now()
-	d.log.Info().Str("dependency", d.name).Dur("after", time.Since(d.since)).Msg("dependencyRegained")
-}
-
-func (d *dependency) regainedSince(at time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.regained.After(at)
+	d.lost = false
+	d.log.Info().Str("dependency", d.name).Dur("after", away).Msg("dependencyRegained")
+	if d.back != nil {
+		d.back(away)
+	}
 }
 
 // backoff is the pause between failed calls.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -121,18 +121,19 @@
 	return !r.disturbed.IsZero() && r.now().Sub(r.disturbed) < r.grace
 }
 
-// Expire drops the endpoints that did not come back in time. It has to be
-// called regularly while the store answers.
-func (r *Roster) Expire() {
+// Expire drops the endpoints that did not come back in time, and says whether
+// there were any. It has to be called regularly while the store answers.
+func (r *Roster) Expire() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.lapsing() || len(r.missing) == 0 {
-		return
+		return false
 	}
 	for name := range r.missing {
 		r.drop(r.known[name], "did not come back")
 	}
 	r.publish()
+	return true
 }
 
 func (r *Roster) drop(endpoint usher.Registration, why string) {
