--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -28,7 +28,7 @@
 	exchangeEvery = 100 * time.Millisecond
 	// fewPeers is up to how many peers the pause holds. With more it grows, so
 	// that what an instance spends on exchanges stays the same.
-	fewPeers = 4
+	fewPeers = 8
 	// exchangeTimeout bounds one exchange. A connection that takes longer is
 	// made anew, because it may have gone silent for good.
 	exchangeTimeout = 600 * time.Millisecond
