Ask refused callers back later the more is refused

Change: the time to come back grows with the part that is refused, up to a third of the caller's time left, and is spread over 1.5 s or more.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -289,18 +289,32 @@
 
 const (
 	// leastReturn is the shortest time after which a refused caller is asked
-	// back, and returnSpread the time over which returns are spread at least.
+	// back, and returnSpread the time over which returns are spread.
 	leastReturn  = 300 * time.Millisecond
 	returnSpread = 1500 * time.Millisecond
+	// patientPart is the part of its time left up to which a caller can wait
+	// before it comes back, and earliestPart how much of that passes at least when
+	// nothing at all is served.
+	patientPart  = 1.0 / 3
+	earliestPart = 0.7
 )
 
-// comeBack returns when the caller should try again: after the time in which
-// what waits now is served, spread so that the refused don't return as a wave.
+// comeBack returns when the caller should try again. The larger the part of the
+// requests that is refused, the longer the overload will last, and one that comes
+// back into it is refused again. Returns are spread, so that the refused don't
+// come as a wave.
 func (s *Scheduler) comeBack(v *service, ask *Ask, now time.Time) time.Duration {
-	backlog := leastReturn
-	if perSecond := v.drain.perSecond(now); perSecond > 0 {
-		backlog = max(backlog, time.Duration(float64(v.line.len())/perSecond*float64(time.Second)))
+	most := time.Duration(float64(ask.Deadline.Sub(now)) * patientPart)
+	arriving := 0.0
+	for rank := range ranks {
+		arriving += v.arrivals[rank].perSecond(now)
 	}
-	wait := backlog + time.Duration(rand.Float64()*float64(max(backlog, returnSpread)))
-	return min(wait, max(leastReturn, ask.Deadline.Sub(now)/3))
+	refused := 0.0
+	if arriving > 0 {
+		refused = max(0, 1-v.drain.perSecond(now)/arriving)
+	}
+	earliest := time.Duration(refused * earliestPart * float64(most))
+	spread := max(returnSpread, earliest/2)
+	wait := earliest + time.Duration(rand.Float64()*float64(spread))
+	return max(leastReturn, min(wait, most))
 }
