Number the gateway's decisions, and keep the caller's id as their key

Cause: 'record verify' took the ids that callers choose for counts of a writer and reported hundreds of thousands of missing lines (seen by hand on loopback).

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -169,7 +169,7 @@
 	}, client, self.Incarnation, p.log)
 	p.gateway = gateway.New(gateway.Options{Revocation: s.Bounds.Revocation}, gateway.Dependencies{
 		Dialect: platform.Dialect{}, Routes: p.routes, Scheduler: p.scheduler, Pool: p.pool,
-		Quota: p.quota, Budget: p.budget, Suspects: p.suspects, Recorder: p.recorder, Log: p.log,
+		Quota: p.quota, Budget: p.budget, Suspects: p.suspects, Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
 	})
 }
 
--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -60,7 +60,7 @@
 		return nil, unasked(r, refusal)
 	}
 	accepted := &request{snapshot: snapshot, tokenName: identity.TokenName, started: time.Now()}
-	accepted.ID = e.ids.request()
+	accepted.ID = e.ids.Next()
 	accepted.Workspace = identity.Workspace.Name
 	accepted.Key = usher.IdempotencyKey(r.Header.Get(headerKey))
 	if refusal := accepted.chooseTier(r.Header.Get(headerTier), identity.Workspace); refusal != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"filbertusher/internal/config"
 	"filbertusher/internal/limit"
+	"filbertusher/internal/record"
 	"filbertusher/internal/suspect"
 	"filbertusher/internal/telemetry"
 	"filbertusher/pkg/usher"
@@ -57,7 +58,7 @@
 	limits  *limit.Limits
 	// reservations is the budget of reservations, which are control messages.
 	reservations *rate.Limiter
-	ids          idSource
+	ids          record.IDSource
 	views        *views
 	metrics      metrics
 	inflight     inflight
@@ -83,7 +84,7 @@
 		options:      options,
 		limits:       limit.New(),
 		reservations: rate.NewLimiter(rate.Limit(options.ReservationRate), options.ReservationRate),
-		ids:          newIDSource(options.Incarnation),
+		ids:          record.NewIDSource(options.Incarnation),
 		views:        newViews(),
 		metrics: metrics{
 			requests: group.Counter("requests").Add,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"filbertusher/internal/budget"
 	"filbertusher/internal/dispatch"
 	"filbertusher/internal/quota"
+	"filbertusher/internal/record"
 	"filbertusher/internal/routing"
 	"filbertusher/internal/suspect"
 	"filbertusher/internal/upstream"
@@ -32,6 +33,7 @@
 	Budget    *budget.Budget
 	Suspects  *suspect.Table
 	Recorder  usher.Recorder
+	IDs       record.IDSource
 	Log       zerolog.Logger
 }
 
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -396,11 +396,11 @@
 	g.Signal(syscall.SIGTERM)
 	<-g.Exited()
 	address := s.store.Listener.Addr().String()
-	found, err := exec.Command(binaries.Product, "record", "show", "--store", address, "order-17").CombinedOutput()
+	found, err := exec.Command(binaries.Product, "record", "find", "--store", address, "--key", "order-17").CombinedOutput()
 	if err != nil || !strings.Contains(string(found), "school") || !strings.Contains(string(found), "d1") {
 		t.Errorf("%v: %s", err, found)
 	}
-	if verified, err := exec.Command(binaries.Product, "record", "verify", "--store", address).CombinedOutput(); err != nil {
+	if verified, err := exec.Command(binaries.Product, "record", "verify", "--store", address).CombinedOutput(); err != nil || strings.Contains(string(verified), "missing") {
 		t.Errorf("%v: %s", err, verified)
 	}
 }
