--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -191,10 +191,11 @@
 	return v
 }
 
-// match gives free places to the requests that wait, and refuses those that
-// have waited for too long. It needs the lock.
+// match gives free places to the requests that wait, and then refuses those that
+// have waited for too long: a place that is free serves a late request better
+// than none. It needs the lock.
 func (s *Scheduler) match(v *service, now time.Time) {
-	s.expire(v, now)
+	defer s.expire(v, now)
 	for v.line.len() > 0 {
 		w, e := s.pair(v, now)
 		if w == nil {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -47,6 +47,16 @@
 	}
 }
 
+// A request that is late already gets a place that is free.
+func TestLateRequestGetsAFreePlace(t *testing.T) {
+	s := scheduler(time.Now, Spec{Engine: true, Slots: 1}, "a")
+	late := ask("1")
+	late.Arrived, late.Target = late.Arrived.Add(-190*time.Millisecond), late.Arrived.Add(10*time.Millisecond)
+	if _, err := s.Admit(context.Background(), late); err != nil {
+		t.Errorf("refused beside a free place: %v", err)
+	}
+}
+
 func TestAdmitEndsWithItsCaller(t *testing.T) {
 	s := scheduler(time.Now, Spec{Engine: true, Slots: 1}, "a")
 	grant, err := s.Admit(context.Background(), ask("1"))
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -123,6 +123,32 @@
 	}
 }
 
+// A replica that falls silent is left for another one, but only if there is one:
+// silence alone ends no stream.
+func TestSilentReplica(t *testing.T) {
+	s := newSite(t)
+	one, two := newReplica(t, "m1", "model", 4, 8), newReplica(t, "m2", "model", 4, 8)
+	s.register(one, "ready")
+	g := s.gateway("g1")
+	s.served(g, "/plan/a")
+	one.set(func() { one.pause = 2500 * time.Millisecond })
+	if got := g.call(t.Context(), http.MethodPost, "/plan/a", "alone"); got.body != one.wholeStream("alone") || got.err != nil {
+		t.Errorf("a stream was cut for silence: %v", got)
+	}
+	s.register(two, "ready")
+	s.until("the second replica is known", func() bool {
+		g.call(context.Background(), http.MethodPost, "/plan/a", fmt.Sprint("w", time.Now()))
+		return two.total() > 0
+	})
+	one.set(func() { one.pause = time.Minute })
+	for i := range 8 {
+		id := fmt.Sprint("p", i)
+		if got := g.call(t.Context(), http.MethodPost, "/plan/a", id, "X-Filbertusher-Deadline-Ms", "10000"); got.body != one.wholeStream(id) || got.err != nil {
+			t.Fatalf("a stream did not move: %v", got)
+		}
+	}
+}
+
 // What the engines can't take is refused at once with a time to come back, and
 // did not run.
 func TestRefusalsAreTrue(t *testing.T) {
