--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -171,11 +171,22 @@
 		w.patience = s.patience(v, w.ask, now)
 	}
 	w.density = v.density(w.ask)
+	if v.line.len() == 0 {
+		// A place that nobody waits for serves a late request better than none.
+		w.patience = maxTime(w.patience, now.Add(tick))
+	}
 	v.line.add(w)
 	s.match(v, now)
 	s.dismiss(v, rankOf(w), now)
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s *Scheduler) leave(w *waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,11 +202,10 @@
 	return v
 }
 
-// match gives free places to the requests that wait, and then refuses those that
-// have waited for too long: a place that is free serves a late request better
-// than none. It needs the lock.
+// match gives free places to the requests that wait, and refuses those that
+// have waited for too long. It needs the lock.
 func (s *Scheduler) match(v *service, now time.Time) {
-	defer s.expire(v, now)
+	s.expire(v, now)
 	for v.line.len() > 0 {
 		w, e := s.pair(v, now)
 		if w == nil {
