--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -34,11 +34,12 @@
 				j.giveUp(ctx, stream, refusal, mayHaveRun)
 				return
 			}
-		}
-		if refusal := j.clear(); refusal != nil {
-			grant.End(dispatch.Cancelled)
-			j.giveUp(ctx, stream, refusal, mayHaveRun)
-			return
+			// A place that the request was moved to was checked before the move.
+			if refusal = j.clear(); refusal != nil {
+				grant.End(dispatch.Cancelled)
+				j.giveUp(ctx, stream, refusal, mayHaveRun)
+				return
+			}
 		}
 		tried = append(tried, grant.Endpoint.Name)
 		result, next := j.attempt(ctx, grant, tried, stream)
@@ -48,6 +49,12 @@
 		case notSent:
 			unreached++
 			j.attempts--
+		case notRun:
+			if stream.started {
+				// The rest of a stream asks on: nothing ran there.
+				unreached++
+				j.attempts--
+			}
 		case lost:
 			mayHaveRun = true
 		}
@@ -154,7 +161,7 @@
 	if j.route.Idempotent() && j.attempts < j.route.MaxAttempts {
 		elsewhere = j.ask(tried, true)
 	}
-	watch := j.watch(elsewhere, cancel)
+	watch := j.watch(&grant.Endpoint, elsewhere, cancel)
 	r := j.exchange(attempt, grant, stream, watch)
 	next := watch.stop()
 	if r.end == delivered && next != nil {
@@ -232,9 +239,12 @@
 	if ctx.Err() != nil || time.Until(j.deadline) < leastLeft {
 		return false
 	}
+	if unreached >= maxUnreached {
+		return false
+	}
 	switch r.end {
 	case notSent:
-		return unreached < maxUnreached
+		return true
 	case lost, failed:
 		if !j.route.Idempotent() {
 			return false
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -149,6 +149,36 @@
 	}
 }
 
+// A credential that is taken away while its stream runs, and stands still, does
+// not cut the stream.
+func TestRevocationDoesNotCutAStream(t *testing.T) {
+	s := newSite(t)
+	one, two := newReplica(t, "m1", "model", 4, 8), newReplica(t, "m2", "model", 4, 8)
+	s.register(one, "ready")
+	s.register(two, "ready")
+	g := s.gateway("g1")
+	s.served(g, "/plan/a")
+	s.until("both replicas are known", func() bool {
+		var group sync.WaitGroup
+		for i := range 6 {
+			group.Go(func() { g.call(context.Background(), http.MethodPost, "/plan/a", fmt.Sprint("w", i, time.Now())) })
+		}
+		group.Wait()
+		return one.total() > 0 && two.total() > 0
+	})
+	for _, r := range []*replica{one, two} {
+		r.set(func() { r.pause = 2500 * time.Millisecond })
+	}
+	answer := make(chan reply, 1)
+	go func() { answer <- g.call(context.Background(), http.MethodPost, "/plan/a", "held") }()
+	s.until("the stream runs", func() bool { return one.ran("held")+two.ran("held") == 1 })
+	s.keys = []string{"other"}
+	s.configure()
+	if got := <-answer; got.body != one.wholeStream("held") || got.err != nil {
+		t.Errorf("the stream was cut: %v", got)
+	}
+}
+
 // What the engines can't take is refused at once with a time to come back, and
 // did not run.
 func TestRefusalsAreTrue(t *testing.T) {
