Follow the route of a request that waits while it moves

Cause: found by reading: a request that waited while its route moved to another service was sent to the endpoint that it had been granted at the old one.

Change: the place is given back and asked for at the new service.

Measured: TestWaitingRequestFollowsItsRoute ran at the old service in 2 of 2 runs without the change, and passes in 3 of 3 with it.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -40,6 +40,12 @@
 				j.giveUp(ctx, stream, refusal, mayHaveRun)
 				return
 			}
+			if grant.Endpoint.Service != j.service {
+				// The route went to another service while the request waited.
+				grant.End(dispatch.Cancelled)
+				grant = nil
+				continue
+			}
 		}
 		tried = append(tried, grant.Endpoint.Name)
 		result, next := j.attempt(ctx, grant, tried, stream)
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -253,6 +253,35 @@
 	}
 }
 
+// A request that waits while its route moves runs where the route goes then.
+func TestWaitingRequestFollowsItsRoute(t *testing.T) {
+	s := newSite(t)
+	old, next := newReplica(t, "m1", "model", 4, 3), newReplica(t, "x1", "desk2", 4, 3)
+	s.register(old, "ready")
+	s.register(next, "ready")
+	g := s.gateway("g1")
+	s.served(g, "/question/a")
+	old.set(func() { old.work = 450 * time.Millisecond })
+	var group sync.WaitGroup
+	for i := range 4 {
+		group.Go(func() { g.call(context.Background(), http.MethodPost, "/question/a", fmt.Sprint("first", i)) })
+	}
+	s.until("the engine is full", func() bool { return len(old.places) == 4 })
+	waiting := make(chan reply, 1)
+	go func() { waiting <- g.call(context.Background(), http.MethodPost, "/question/a", "waits") }()
+	time.Sleep(50 * time.Millisecond)
+	s.routes[3]["service"] = "desk2"
+	s.configure()
+	got := <-waiting
+	group.Wait()
+	if old.ran("waits") != 0 || (got.status == http.StatusOK && next.ran("waits") != 1) {
+		t.Errorf("status %d after %d runs at the old service and %d at the new one", got.status, old.ran("waits"), next.ran("waits"))
+	}
+	if got.status != http.StatusOK && got.status != http.StatusServiceUnavailable {
+		t.Errorf("got %v", got)
+	}
+}
+
 // While the store is away a credential is honoured only for as long as the
 // configuration is proven to be young; the answer is then a refusal and not a
 // failure of the caller, and serving goes on when the store is back.
