Let a gateway that starts without the store talk to the seeds it found

Cause: found by reading: a process that started during an outage got a configuration from a seed, but no peers until the store told them, and so no proofs: it refused every credential although the others could prove the configuration.

Change: seeds that answer are peers until the store tells more; news say how many instances are known, so that quotas and retries are divided by all of them.

Ruled out: a stream's bound on writes staying on its connection; net/http takes it off (TestKeptConnectionOutlivesItsStream passes without a change and is kept).

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -311,8 +311,17 @@
 			return
 		case <-ticker.C:
 		}
-		if found := p.peering.AskSeeds(ctx); len(found) > 0 {
-			p.log.Info().Int("instances", len(found)).Uint64("version", uint64(p.routes.Version())).Msg("seedsAnswered")
+		found, members := p.peering.AskSeeds(ctx)
+		if len(found) == 0 {
+			continue
+		}
+		p.log.Info().Int("instances", len(found)).Int("members", members).Uint64("version", uint64(p.routes.Version())).Msg("seedsAnswered")
+		if !p.follower.KnowsInstances() && members > 1 {
+			// Peers pass proofs on, without which nothing is served while the store
+			// is away.
+			p.peering.SetInstances(ctx, found)
+			p.quota.SetMembers(members)
+			p.budget.SetMembers(members)
 		}
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -133,6 +133,9 @@
 	return group.Wait()
 }
 
+// KnowsInstances says whether the store has told which instances there are.
+func (f *Follower) KnowsInstances() bool { return f.members.Load() > 0 }
+
 // Withdraw takes this instance out of the directory, as a planned stop does.
 func (f *Follower) Withdraw(ctx context.Context) error {
 	return f.options.Directory.Withdraw(ctx, f.options.Self.Name)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -56,9 +56,11 @@
 	ProofAge time.Duration
 	// RosterRevision is the store's revision of its view of the endpoints.
 	RosterRevision usher.Version
-	Dispatch       dispatch.News
-	Quota          quota.News
-	Suspects       []suspect.Suspect
+	// Members is how many instances it knows of.
+	Members  int
+	Dispatch dispatch.News
+	Quota    quota.News
+	Suspects []suspect.Suspect
 }
 
 // Parts are what the exchange reads and feeds.
@@ -192,8 +194,12 @@
 }
 
 func (p *Peering) news() *News {
+	p.mu.Lock()
+	members := len(p.peers) + 1
+	p.mu.Unlock()
 	return &News{
-		Name: p.self.Name, Incarnation: p.self.Incarnation, Address: p.self.Address,
+		Members: members,
+		Name:    p.self.Name, Incarnation: p.self.Incarnation, Address: p.self.Address,
 		Version: p.parts.Routes.Version(), ProofAge: p.parts.Routes.Age(),
 		RosterRevision: p.parts.Roster.Snapshot().Revision,
 		Dispatch:       p.parts.Scheduler.News(), Quota: p.parts.Quota.News(), Suspects: p.parts.Suspects.Shared(),
@@ -261,8 +267,9 @@
 
 // AskSeeds exchanges news with instances known by address only. A process that
 // starts while the store is away finds a configuration and peers that way.
-func (p *Peering) AskSeeds(ctx context.Context) []usher.GatewayInstance {
-	var found []usher.GatewayInstance
+//
+// It returns the instances that answered and how many they know of.
+func (p *Peering) AskSeeds(ctx context.Context) (found []usher.GatewayInstance, members int) {
 	for _, address := range p.seeds {
 		if address == p.self.Address || ctx.Err() != nil {
 			continue
@@ -275,11 +282,12 @@
 		if err == nil && reply.Name != "" {
 			instance := usher.GatewayInstance{Name: reply.Name, Incarnation: reply.Incarnation, Address: address}
 			found = append(found, instance)
+			members = max(members, reply.Members)
 			p.catchUp(ctx, &peer{instance: instance, link: l}, &reply)
 		}
 		l.Close()
 	}
-	return found
+	return found, members
 }
 
 // State is the peering's part of the dump.
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -282,6 +282,29 @@
 	}
 }
 
+// A caller's connection serves requests long after the deadline of a stream that
+// it carried.
+func TestKeptConnectionOutlivesItsStream(t *testing.T) {
+	s := newSite(t)
+	desk, model := newReplica(t, "d1", "desk", 4, 0), newReplica(t, "m1", "model", 4, 3)
+	s.register(desk, "ready")
+	s.register(model, "ready")
+	g := s.gateway("g1")
+	s.served(g, "/check/a")
+	s.served(g, "/plan/a")
+	g.keep = &http.Transport{MaxIdleConns: 1}
+	t.Cleanup(g.keep.CloseIdleConnections)
+	if got := g.call(t.Context(), http.MethodPost, "/plan/a", "p1", "X-Filbertusher-Deadline-Ms", "300"); got.status != http.StatusOK || got.err != nil {
+		t.Fatal(got)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for i := range 2 {
+		if got := g.call(t.Context(), http.MethodPost, "/order/a", fmt.Sprint("o", i)); got.status != http.StatusOK || got.err != nil {
+			t.Errorf("a request on the same connection: %v", got)
+		}
+	}
+}
+
 // While the store is away a credential is honoured only for as long as the
 // configuration is proven to be young; the answer is then a refusal and not a
 // failure of the caller, and serving goes on when the store is back.
--- a/test/gateway/site_test.go
+++ b/test/gateway/site_test.go
@@ -47,6 +47,9 @@
 	callers   string
 	readiness string
 	metrics   string
+	// keep is the transport of callers that keep their connection; others open a
+	// new one for each call.
+	keep *http.Transport
 }
 
 func newSite(t *testing.T) *site {
@@ -239,8 +242,11 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	defer transport.CloseIdleConnections()
+	transport := g.keep
+	if transport == nil {
+		transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+		defer transport.CloseIdleConnections()
+	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return reply{err: err}
