Quotas: tell what is missing, and end a round with the news of all

A bucket that an instance had never used counted as full without an end, so a restarted process took over a full level at every exchange of its first second; and a round ended by time, so that instances that could not hear one another each took their part again and again.

Change: instances tell what is missing to a full bucket; rounds end when all have told their use or are silent; a replaced instance that was not heard is charged its equal part; silent after 0.8 s. Small clean-ups: pause.Every, rate.Limiter for lines, one way after failures in follow.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -24,6 +24,7 @@
 	"filbertusher/internal/follow"
 	"filbertusher/internal/gateway"
 	"filbertusher/internal/link"
+	"filbertusher/internal/pause"
 	"filbertusher/internal/peering"
 	"filbertusher/internal/quota"
 	"filbertusher/internal/record"
@@ -242,7 +243,7 @@
 	group.Go(func() error { return p.follower.Run(ctx) })
 	group.Go(func() error { return p.recorder.Run(ctx, noPeers{}) })
 	group.Go(func() error { p.askSeeds(ctx); return nil })
-	group.Go(func() error { p.sweepPool(ctx); return nil })
+	group.Go(func() error { pause.Every(ctx, poolSweepEvery, p.sweepPool); return nil })
 	group.Go(func() error { p.reload(ctx); return nil })
 	group.Go(func() error {
 		defer stop()
@@ -326,21 +327,13 @@
 	}
 }
 
-func (p *gatewayProcess) sweepPool(ctx context.Context) {
-	ticker := time.NewTicker(poolSweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		snapshot := p.roster.Snapshot()
-		p.pool.Sweep(func(name string, born int64, address string) bool {
-			r, known := snapshot.ByName[usher.EndpointName(name)]
-			return known && r.Born == born && r.Address == address
-		})
-	}
+// sweepPool closes connections to endpoints that are gone.
+func (p *gatewayProcess) sweepPool() {
+	snapshot := p.roster.Snapshot()
+	p.pool.Sweep(func(name string, born int64, address string) bool {
+		r, known := snapshot.ByName[usher.EndpointName(name)]
+		return known && r.Born == born && r.Address == address
+	})
 }
 
 // reload takes in changes of the settings file, on a signal and without one.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -57,6 +57,8 @@
 	// drawn at random, so that instances that failed together spread out.
 	firstRetry = 60 * time.Millisecond
 	lastRetry  = 600 * time.Millisecond
+	// listAgainAfter is after how many failures in a row a watch begins anew.
+	listAgainAfter = 2
 	// callTimeout bounds calls that don't wait.
 	callTimeout = 1500 * time.Millisecond
 )
@@ -148,19 +150,7 @@
 		began, listed := boottime.Now(), since == 0
 		table, next, err := f.nextRoutes(ctx, since)
 		if err != nil {
-			if lost := new(usher.HistoryLostError); errors.As(err, &lost) {
-				since = 0
-				retry.wait(ctx)
-				continue
-			}
-			if missing := new(usher.NotFoundError); errors.As(err, &missing) {
-				// The store works; nobody has written a configuration yet.
-				retry.wait(ctx)
-				continue
-			}
-			f.store.failed(ctx, "routes", err)
-			since = f.listAgain(since, &retry)
-			retry.wait(ctx)
+			since = f.afterFailure(ctx, "routes", err, since, &retry)
 			continue
 		}
 		f.store.worked()
@@ -176,12 +166,22 @@
 	}
 }
 
-// listAgain forgets where the watch stood after a few failures: what was missed
-// may be history by then.
-func (f *Follower) listAgain(since usher.Version, retry *backoff) usher.Version {
-	if retry.failures >= 2 {
-		return 0
+// afterFailure waits before the next try and returns where it watches from; 0 is
+// a new list. After a few failures what was missed may be history.
+func (f *Follower) afterFailure(ctx context.Context, call string, err error, since usher.Version, retry *backoff) usher.Version {
+	lost, missing := new(usher.HistoryLostError), new(usher.NotFoundError)
+	switch {
+	case errors.As(err, &lost):
+		since = 0
+	case errors.As(err, &missing):
+		// The store works; nobody has written a configuration yet.
+	default:
+		f.store.failed(ctx, call, err)
+		if retry.failures >= listAgainAfter {
+			since = 0
+		}
 	}
+	retry.wait(ctx)
 	return since
 }
 
@@ -231,14 +231,7 @@
 		began := boottime.Now()
 		changes, next, err := f.nextEndpoints(ctx, since)
 		if err != nil {
-			if lost := new(usher.HistoryLostError); errors.As(err, &lost) {
-				since = 0
-				retry.wait(ctx)
-				continue
-			}
-			f.store.failed(ctx, "endpoints", err)
-			since = f.listAgain(since, &retry)
-			retry.wait(ctx)
+			since = f.afterFailure(ctx, "endpoints", err, since, &retry)
 			continue
 		}
 		f.store.worked()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"filbertusher/internal/budget"
 	"filbertusher/internal/dispatch"
+	"filbertusher/internal/pause"
 	"filbertusher/internal/quota"
 	"filbertusher/internal/record"
 	"filbertusher/internal/routing"
@@ -109,7 +110,7 @@
 // Serve serves callers until the listener is closed.
 func (g *Gateway) Serve(ctx context.Context, listener net.Listener) error {
 	g.server.BaseContext = func(net.Listener) context.Context { return ctx }
-	go g.sweep(ctx)
+	go pause.Every(ctx, sweepEvery, g.sweep)
 	if err := g.server.Serve(listener); err != http.ErrServerClosed {
 		return err
 	}
@@ -136,21 +137,12 @@
 
 // sweep closes callers' connections that stay idle for longer than the
 // configuration allows. The bound may change, which http.Server's may not.
-func (g *Gateway) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		bound := idleTimeout
-		if index := g.Routes.Index(); index != nil && index.Table.Limits.IdleTimeout > 0 {
-			bound = index.Table.Limits.IdleTimeout
-		}
-		g.closeIdle(time.Now().Add(-bound))
+func (g *Gateway) sweep() {
+	bound := idleTimeout
+	if index := g.Routes.Index(); index != nil && index.Table.Limits.IdleTimeout > 0 {
+		bound = index.Table.Limits.IdleTimeout
 	}
+	g.closeIdle(time.Now().Add(-bound))
 }
 
 func (g *Gateway) closeIdle(before time.Time) {
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"golang.org/x/time/rate"
 
 	"filbertusher/internal/telemetry"
 )
@@ -45,26 +46,20 @@
 
 // limiter lets a number of lines through each second and counts the others.
 type limiter struct {
-	mu      sync.Mutex
-	second  int64
-	count   int
+	*rate.Limiter
 	dropped atomic.Int64
 }
 
-func newLimiter() *limiter { return &limiter{} }
+func newLimiter() *limiter {
+	return &limiter{Limiter: rate.NewLimiter(linesPerSecond, linesPerSecond)}
+}
 
 func (l *limiter) allow() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now := time.Now().Unix(); now != l.second {
-		l.second, l.count = now, 0
-	}
-	l.count++
-	if l.count > linesPerSecond {
-		l.dropped.Add(1)
-		return false
+	if l.Allow() {
+		return true
 	}
-	return true
+	l.dropped.Add(1)
+	return false
 }
 
 // metrics are the counters and histograms of the callers' side.
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -19,3 +19,17 @@
 	case <-ctx.Done():
 	}
 }
+
+// Every calls do at a steady pace until ctx ends.
+func Every(ctx context.Context, pace time.Duration, do func()) {
+	ticker := time.NewTicker(pace)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -29,22 +29,19 @@
 	demandMemory = 1500 * time.Millisecond
 	// silentAfter is how old news of another instance may be before it counts
 	// as silent.
-	silentAfter = 1200 * time.Millisecond
+	silentAfter = 800 * time.Millisecond
 	// toleranceShare is the part of the rules' tolerance by which the bucket is
 	// larger than the burst. The rest covers news that are under way.
-	toleranceShare = 0.5
-	// evenPart is added to an instance's part by demand, so that the first
-	// requests of a workspace at an instance fit.
-	evenPart = 0.15
+	toleranceShare = 0.4
+	// evenPart is divided evenly and added to the parts by demand, so that the
+	// first requests of a workspace at an instance fit.
+	evenPart = 0.4
 	// partFactor is by how much the parts of a round may add up to more than
 	// the level; what is passed in one round is missing in the next.
-	partFactor = 1.5
+	partFactor = 1.2
 	// headStart is the part of the tolerance with which the bucket of a process
 	// begins that follows others. Callers come back all at once then.
-	headStart = 0.15
-	// amplePart is the part of a full bucket above which no round of all
-	// instances can empty it, so that parts are not kept to.
-	amplePart = 0.35
+	headStart = 0.1
 	// round is how often news arrive while there are few instances.
 	round = 100 * time.Millisecond
 	// learningTime is for how long after its start a process takes over what the
@@ -65,9 +62,9 @@
 	Used        Used
 	// Demand is what callers ask for a second.
 	Demand Used
-	// Level is what is in the buckets, from an instance that has seen a whole
-	// window; otherwise nil.
-	Level Used
+	// Missing is what is missing in the buckets until they are full, from an
+	// instance that has seen a whole window; otherwise nil.
+	Missing Used
 }
 
 // Rules are by how much the sum over all instances may pass a quota in any
@@ -104,12 +101,15 @@
 	level  float64
 	filled time.Time
 	used   float64
+	// rate and size are those of the whole bucket when it was last used.
+	rate, size float64
 	// demand is a second's worth, as of measured.
 	demand   float64
 	measured time.Time
-	// begun is set once the bucket of a process that follows others has got its
-	// head start.
-	begun bool
+	// begun is set once this instance was asked and knows the bucket's size. Until
+	// then the level is counted from a full bucket if fromFull is set, else from an
+	// empty one.
+	begun, fromFull bool
 	// began is when the round began, and taken what was taken in it.
 	began time.Time
 	taken float64
@@ -143,6 +143,9 @@
 	before := known.news.Used
 	if known.news.Incarnation != news.Incarnation {
 		before = nil
+		if silence := q.now().Sub(known.seen); known.news.Incarnation != "" && silence > silentAfter {
+			q.chargeUnheard(silence)
+		}
 	}
 	for workspace, used := range news.Used {
 		// News may overtake one another.
@@ -154,18 +157,33 @@
 	}
 	known.news, known.seen = news, q.now()
 	if !q.fresh && q.now().Sub(q.started) < learningTime {
-		q.takeOver(news.Level)
+		q.takeOver(news.Missing)
+	}
+}
+
+// chargeUnheard takes out what an instance may have used that was not heard for a
+// while and has been replaced since: its equal part. Nobody will tell of it.
+func (q *Quota) chargeUnheard(silence time.Duration) {
+	for _, a := range q.accounts {
+		a.level = min(a.level, a.size) - (a.rate*min(silence, q.rules.Window).Seconds()+a.size)/float64(q.members)
 	}
 }
 
 // takeOver raises levels to what an instance knows that was there before this
 // one. It can't have heard of the last few requests of this process; those are
 // few in a process that has just started.
-func (q *Quota) takeOver(levels Used) {
-	for workspace, level := range levels {
+func (q *Quota) takeOver(all Used) {
+	for workspace, missing := range all {
 		q.informed = true
 		a := q.account(workspace)
-		a.level = max(a.level, level)
+		switch {
+		case a.begun:
+			a.level = max(a.level, a.size-missing)
+		case a.fromFull:
+			a.level = max(a.level, -missing)
+		default:
+			a.fromFull, a.level = true, -missing
+		}
 	}
 }
 
@@ -182,16 +200,30 @@
 	delete(q.peers, instance)
 }
 
+// hearsAll says whether all members are heard. What others have used that are not
+// is not in the levels.
+func (q *Quota) hearsAll(now time.Time) bool {
+	heard := 0
+	for _, known := range q.peers {
+		if now.Sub(known.seen) <= silentAfter {
+			heard++
+		}
+	}
+	return heard >= q.members-1
+}
+
 // News returns what the others should know.
 func (q *Quota) News() News {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
 	news := News{Incarnation: q.self, Used: make(Used, len(q.accounts)), Demand: make(Used, len(q.accounts))}
-	if q.experienced() {
-		news.Level = make(Used, len(q.accounts))
+	if q.experienced() && q.hearsAll(now) {
+		news.Missing = make(Used, len(q.accounts))
 		for name, a := range q.accounts {
-			news.Level[name] = math.Round(min(a.level, math.MaxInt32))
+			if missing, known := a.missing(now); known {
+				news.Missing[name] = math.Round(missing)
+			}
 		}
 	}
 	for name, a := range q.accounts {
@@ -260,22 +292,28 @@
 func (q *Quota) decide(workspace *usher.WorkspaceSpec, cost float64) (Decision, *account) {
 	now := q.now()
 	a := q.account(workspace.Name)
-	heard, others := q.others(workspace.Name, now)
+	heard, others, oldest := q.others(workspace.Name, now)
 	members := max(q.members, heard+1)
 	d := Decision{Silent: members - 1 - heard}
 	reach := float64(heard+1) / float64(members)
 	rate, size := workspace.Rate*reach, q.size(workspace)*reach
+	a.rate, a.size = workspace.Rate, q.size(workspace)
 	if !a.begun {
+		// What was heard of the others' use before is in the level already.
 		a.begun = true
-		a.level += headStart * q.tolerance(workspace) * reach
+		if a.fromFull {
+			a.level += a.size
+		} else {
+			a.level += headStart * q.tolerance(workspace) * reach
+		}
 	}
 	a.fill(rate, size, now)
-	a.turn(now, round*time.Duration((members+3)/4))
+	a.turn(now, oldest)
 	d.Level, d.Taken = a.level, a.taken
-	d.Allowance = (max(0, a.level) + a.taken) * a.part(now, others, heard)
+	d.Allowance = (max(0, a.level) + a.taken) * a.part(now, others, heard, members)
 	// A request larger than the bucket fits into a full one and overdraws it.
 	need := min(cost, size)
-	inPart := a.taken+cost <= d.Allowance || a.taken == 0 || a.level > amplePart*size
+	inPart := a.taken+cost <= d.Allowance || a.taken == 0
 	d.Allowed = a.level >= need && inPart
 	if !d.Allowed {
 		d.Wait = max(round, time.Duration((need-a.level)/math.Max(rate, 1)*float64(time.Second)))
@@ -297,51 +335,61 @@
 	return tolerance
 }
 
-// others returns how many instances are heard and what is asked of them.
-func (q *Quota) others(workspace usher.WorkspaceName, now time.Time) (heard int, demand float64) {
+// others returns how many instances are heard, what is asked of them, and when
+// the oldest of their news came.
+func (q *Quota) others(workspace usher.WorkspaceName, now time.Time) (heard int, demand float64, oldest time.Time) {
+	oldest = now
 	for _, known := range q.peers {
 		if now.Sub(known.seen) > silentAfter {
 			continue
 		}
 		heard++
 		demand += known.news.Demand[workspace]
+		if known.seen.Before(oldest) {
+			oldest = known.seen
+		}
 	}
-	return heard, demand
+	return heard, demand, oldest
 }
 
 func (q *Quota) account(workspace usher.WorkspaceName) *account {
 	a := q.accounts[workspace]
 	if a == nil {
 		now := q.now()
-		a = &account{filled: now, measured: now}
-		if q.fresh {
-			// fill cuts it down to the bucket's size.
-			a.level = math.MaxFloat64
-		}
+		a = &account{filled: now, measured: now, fromFull: q.fresh}
 		q.accounts[workspace] = a
 	}
 	return a
 }
 
+// missing is what is missing until the bucket is full, as far as that is known.
+func (a *account) missing(now time.Time) (float64, bool) {
+	if !a.begun {
+		return max(0, -a.level), a.fromFull
+	}
+	return max(0, a.size-a.level-a.rate*now.Sub(a.filled).Seconds()), true
+}
+
 func (a *account) fill(rate, size float64, now time.Time) {
 	a.level = min(size, a.level+rate*now.Sub(a.filled).Seconds())
 	a.filled = now
 }
 
-// turn begins a new round when the last one is over.
-func (a *account) turn(now time.Time, length time.Duration) {
-	if now.Sub(a.began) >= length {
+// turn begins a new round when all others have told their use since the last one
+// began, or have fallen silent.
+func (a *account) turn(now, oldest time.Time) {
+	if !oldest.Before(a.began) {
 		a.began, a.taken = now, 0
 	}
 }
 
 // part is the part of the level that this instance may take in a round.
-func (a *account) part(now time.Time, others float64, heard int) float64 {
+func (a *account) part(now time.Time, others float64, heard, members int) float64 {
 	own := a.demandNow(now)
 	if heard == 0 || own+others <= 0 {
 		return 1
 	}
-	return min(1, evenPart+partFactor*own/(own+others))
+	return min(1, evenPart/float64(members)+partFactor*own/(own+others))
 }
 
 func (a *account) ask(cost float64, now time.Time) {
