--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -164,12 +164,16 @@
 }
 
 // List returns what a process that can't reach the store needs to take over
-// this one's view.
+// this one's view. Endpoints that are kept only because they may have lapsed are
+// left out: another process may know already that they are gone.
 func (r *Roster) List() ([]usher.EndpointChange, usher.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	list := make([]usher.EndpointChange, 0, len(r.known))
-	for _, endpoint := range r.known {
+	for name, endpoint := range r.known {
+		if _, lapsed := r.missing[name]; lapsed {
+			continue
+		}
 		list = append(list, usher.EndpointChange{Registration: endpoint, Usable: true})
 	}
 	return list, r.revision
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// What one process keeps in case it comes back does not bring it back elsewhere.
+func TestLapsedEntriesAreNotPassedOn(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	keeps, knows := New(2*time.Second, c.now, nil), New(2*time.Second, c.now, nil)
+	for _, r := range []*Roster{keeps, knows} {
+		r.Replace([]usher.EndpointChange{entry("a", false), entry("b", false)}, 5)
+	}
+	keeps.Disturbed()
+	keeps.Apply([]usher.EndpointChange{gone("a")}, 7)
+	knows.Apply([]usher.EndpointChange{gone("a")}, 6)
+	knows.Replace(keeps.List())
+	if diff := cmp.Diff([]usher.EndpointName{"b"}, usable(knows)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestOlderNewsAndUnreadableEntries(t *testing.T) {
 	c := &clock{time.Unix(1000, 0)}
 	r := New(2*time.Second, c.now, nil)
