Test a request that crashes replicas end to end

A request that crashes each replica that runs it had only unit tests. Two gateways before five replicas: at most three may crash, the rest of the repeats is refused as crashedEndpoints at both gateways, and other requests are served.

--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -123,6 +123,48 @@
 	}
 }
 
+// A request that crashes each replica that runs it is kept from the last ones,
+// whichever gateway it comes back to, and the rest is served.
+func TestRequestThatCrashesReplicas(t *testing.T) {
+	s := newSite(t)
+	var desks []*replica
+	for i := range 5 {
+		desk := newReplica(t, fmt.Sprint("d", i), "desk", 4, 0)
+		desk.poison = "/check/poison"
+		s.register(desk, "ready")
+		desks = append(desks, desk)
+	}
+	gateways := []*gateway{s.gateway("g1"), s.gateway("g2")}
+	for _, g := range gateways {
+		s.served(g, "/check/a")
+	}
+	refused := 0
+	for i := range 30 {
+		got := gateways[i%2].call(t.Context(), http.MethodGet, "/check/poison", fmt.Sprint("poison", i))
+		if got.status == http.StatusOK {
+			t.Fatal("a replica answered a request that crashes it")
+		}
+		if strings.Contains(got.body, "crashedEndpoints") {
+			refused++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	crashed := 0
+	for _, desk := range desks {
+		for i := range 30 {
+			crashed += desk.ran(fmt.Sprint("poison", i))
+		}
+	}
+	if crashed > 3 || refused < 20 {
+		t.Errorf("%d replicas were crashed, %d of 30 requests were refused as suspects", crashed, refused)
+	}
+	for i, g := range gateways {
+		if got := g.call(t.Context(), http.MethodGet, "/check/a", fmt.Sprint("other", i)); got.status != http.StatusOK {
+			t.Errorf("another request: %v", got)
+		}
+	}
+}
+
 // A replica that falls silent is left for another one, but only if there is one:
 // silence alone ends no stream.
 func TestSilentReplica(t *testing.T) {
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -30,7 +30,9 @@
 	resets   int
 	cutAfter int
 	// pause is how long a stream stands still after its second event.
-	pause   time.Duration
+	pause time.Duration
+	// poison is the path of requests that crash the replica for good.
+	poison  string
 	runs    map[string]int
 	headers []http.Header
 	waiting int
@@ -123,7 +125,12 @@
 		r.resets--
 	}
 	work, pace, cut := r.work, r.pace, r.cutAfter
+	poisoned := r.poison != "" && q.URL.Path == r.poison
 	r.mu.Unlock()
+	if poisoned {
+		r.crash(w)
+		return
+	}
 	select {
 	case <-time.After(work):
 	case <-q.Context().Done():
@@ -143,6 +150,13 @@
 	}
 }
 
+// crash ends the replica: nobody listens any more, and all connections break.
+func (r *replica) crash(w http.ResponseWriter) {
+	_ = r.server.Listener.Close()
+	r.reset(w)
+	r.server.CloseClientConnections()
+}
+
 // reset breaks the connection off without an answer.
 func (r *replica) reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
