Quotas: keep the share of the silent apart from the level

Cause: while an instance was silent the others filled and capped the one bucket at their part. After a cut the news of what the other side had used then came out of a part instead of the whole, and nothing was let through for over a second.

Change: the level is the whole bucket and stays exact through a cut; a second bucket, the share, holds those that are heard to their part. Parts are even in the first round, add up to the level in rounds that last too long, and an instance that is expected but not heard counts as silent from the start. News carry the age of the process, so that only what nobody tells is charged. The line overQuota names rate and burst.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -263,6 +263,7 @@
 	g.metrics.overQuota.Add(1)
 	if g.lines.allow() {
 		g.Log.Info().Str("request", string(j.head.ID)).Str("workspace", string(j.workspace.Name)).
+			Float64("rate", j.workspace.Rate).Float64("burst", j.workspace.Burst).
 			Float64("cost", cost).Float64("left", d.Level).Float64("allowance", d.Allowance).Float64("taken", d.Taken).Int("silent", d.Silent).Msg("overQuota")
 	}
 	return usher.NewRefusal(usher.RefusalLimited, "the workspace's quota is used up").WithRetryAfter(d.Wait)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -144,6 +144,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	known := &peer{instance: instance, link: link.New(instance.Address), stop: cancel}
 	p.peers[instance.Name] = known
+	p.parts.Quota.Expect(instance.Name)
 	go p.talk(ctx, known)
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -7,8 +7,12 @@
 //	level = min(size, level + rate*time) - own use - news of others' use
 //
 // Between two rounds of news all instances could take the same tokens, so each
-// takes no more in a round than its part of the level by demand. An instance
-// that has fallen silent is left an equal part of the rate.
+// takes no more in a round than its part of the level by demand.
+//
+// An instance that has fallen silent is left an equal part of what was in the
+// bucket when it was last heard, and of the rate. The others keep to a second,
+// smaller bucket, the share, until it is heard again. Its news then tell what it
+// took, so that the level is as exact as before the silence.
 //
 // A process that may follow others starts with an empty bucket. What those let
 // through before and what it lets through after then fit into one window of
@@ -39,6 +43,12 @@
 	// partFactor is by how much the parts of a round may add up to more than
 	// the level; what is passed in one round is missing in the next.
 	partFactor = 1.2
+	// longRound is how long a round lasts at most while all news arrive and there are
+	// few instances. In a longer one somebody may be cut off, and nothing that is
+	// passed can be made up for, so that the parts add up to the level.
+	longRound = 3 * round
+	// fewInstances is up to how many instances news arrive every round.
+	fewInstances = 8
 	// headStart is the part of the tolerance with which the bucket of a process
 	// begins that follows others. Callers come back all at once then.
 	headStart = 0.1
@@ -57,8 +67,9 @@
 
 // News is what an instance tells the others.
 type News struct {
-	// Used only grows as long as the incarnation stays.
+	// Used only grows as long as the incarnation stays, which is Age old.
 	Incarnation usher.Incarnation
+	Age         time.Duration
 	Used        Used
 	// Demand is what callers ask for a second.
 	Demand Used
@@ -94,13 +105,27 @@
 type peer struct {
 	news News
 	seen time.Time
+	// expected is since when there has been such an instance.
+	expected time.Time
+}
+
+// silence is how long the instance has not been heard.
+func (p *peer) silence(now time.Time) time.Duration {
+	if p.seen.IsZero() {
+		return now.Sub(p.expected)
+	}
+	return now.Sub(p.seen)
 }
 
 // account is this instance's view of one workspace's bucket.
 type account struct {
-	level  float64
-	filled time.Time
-	used   float64
+	// level is what the whole bucket holds if the silent take nothing.
+	level float64
+	// share is what those that are heard may take of it, and reach their part of
+	// all instances. The share counts only while reach is below one.
+	share, reach float64
+	filled       time.Time
+	used         float64
 	// rate and size are those of the whole bucket when it was last used.
 	rate, size float64
 	// demand is a second's worth, as of measured.
@@ -110,9 +135,11 @@
 	// then the level is counted from a full bucket if fromFull is set, else from an
 	// empty one.
 	begun, fromFull bool
-	// began is when the round began, and taken what was taken in it.
-	began time.Time
-	taken float64
+	// began is when the round began, and taken what was taken in it. In the first
+	// round the demand at others is not known yet.
+	began  time.Time
+	taken  float64
+	rounds int
 }
 
 // New returns a quota with nothing used. fresh says that no other process
@@ -131,26 +158,43 @@
 	q.members = max(1, members)
 }
 
-// Heard takes in the news of another instance.
-func (q *Quota) Heard(instance string, news News) {
+// Expect tells that there is another instance, which may be serving without
+// being heard.
+func (q *Quota) Expect(instance string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.peer(instance)
+}
+
+func (q *Quota) peer(instance string) *peer {
 	known := q.peers[instance]
 	if known == nil {
-		known = &peer{}
+		known = &peer{expected: q.now()}
 		q.peers[instance] = known
 	}
+	return known
+}
+
+// Heard takes in the news of another instance.
+func (q *Quota) Heard(instance string, news News) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	known := q.peer(instance)
 	before := known.news.Used
+	silence := known.silence(q.now())
 	if known.news.Incarnation != news.Incarnation {
 		before = nil
-		if silence := q.now().Sub(known.seen); known.news.Incarnation != "" && silence > silentAfter {
-			q.chargeUnheard(silence)
+		// The news leave out what an earlier process of the instance used.
+		if unheard := silence - news.Age; unheard > silentAfter {
+			q.chargeUnheard(unheard)
 		}
+	} else if silence > silentAfter {
+		q.rejoin(silence)
 	}
 	for workspace, used := range news.Used {
 		// News may overtake one another.
 		if more := used - before[workspace]; more > 0 {
-			q.account(workspace).level -= more
+			q.account(workspace).charge(more)
 		} else if more < 0 {
 			news.Used[workspace] = before[workspace]
 		}
@@ -162,13 +206,22 @@
 }
 
 // chargeUnheard takes out what an instance may have used that was not heard for a
-// while and has been replaced since: its equal part. Nobody will tell of it.
+// while and is gone since: its equal part. Nobody will tell of it. The share never
+// held that part.
 func (q *Quota) chargeUnheard(silence time.Duration) {
 	for _, a := range q.accounts {
 		a.level = min(a.level, a.size) - (a.rate*min(silence, q.rules.Window).Seconds()+a.size)/float64(q.members)
 	}
 }
 
+// rejoin adds to the shares what an instance was left that is heard again. Its
+// news take out what it used of that.
+func (q *Quota) rejoin(silence time.Duration) {
+	for _, a := range q.accounts {
+		a.share += a.rate * silence.Seconds() / float64(q.members)
+	}
+}
+
 // takeOver raises levels to what an instance knows that was there before this
 // one. It can't have heard of the last few requests of this process; those are
 // few in a process that has just started.
@@ -193,10 +246,16 @@
 	return q.fresh || q.informed || q.now().Sub(q.started) > q.rules.Window
 }
 
-// Forget drops an instance that is no longer a member.
+// Forget drops an instance that is no longer a member. It may have gone on for a
+// while after its last news.
 func (q *Quota) Forget(instance string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if known := q.peers[instance]; known != nil {
+		if silence := known.silence(q.now()); silence > silentAfter {
+			q.chargeUnheard(silence)
+		}
+	}
 	delete(q.peers, instance)
 }
 
@@ -217,7 +276,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	news := News{Incarnation: q.self, Used: make(Used, len(q.accounts)), Demand: make(Used, len(q.accounts))}
+	news := News{Incarnation: q.self, Age: now.Sub(q.started), Used: make(Used, len(q.accounts)), Demand: make(Used, len(q.accounts))}
 	if q.experienced() && q.hearsAll(now) {
 		news.Missing = make(Used, len(q.accounts))
 		for name, a := range q.accounts {
@@ -282,7 +341,7 @@
 	defer q.mu.Unlock()
 	d, a := q.decide(workspace, cost)
 	if d.Allowed {
-		a.level -= cost
+		a.charge(cost)
 		a.used += cost
 		a.taken += cost
 	}
@@ -296,27 +355,32 @@
 	members := max(q.members, heard+1)
 	d := Decision{Silent: members - 1 - heard}
 	reach := float64(heard+1) / float64(members)
-	rate, size := workspace.Rate*reach, q.size(workspace)*reach
-	a.rate, a.size = workspace.Rate, q.size(workspace)
+	size := q.size(workspace)
+	a.rate, a.size = workspace.Rate, size
 	if !a.begun {
 		// What was heard of the others' use before is in the level already.
 		a.begun = true
 		if a.fromFull {
-			a.level += a.size
+			a.level += size
 		} else {
-			a.level += headStart * q.tolerance(workspace) * reach
+			a.level += headStart * q.tolerance(workspace)
 		}
 	}
-	a.fill(rate, size, now)
+	a.fill(now)
+	a.hear(reach)
 	a.turn(now, oldest)
-	d.Level, d.Taken = a.level, a.taken
-	d.Allowance = (max(0, a.level) + a.taken) * a.part(now, others, heard, members)
+	rate, level := workspace.Rate, a.level
+	if reach < 1 {
+		rate, size, level = rate*reach, size*reach, min(level, a.share)
+	}
+	d.Level, d.Taken = level, a.taken
+	d.Allowance = (max(0, level) + a.taken) * a.part(now, others, heard, members)
 	// A request larger than the bucket fits into a full one and overdraws it.
 	need := min(cost, size)
 	inPart := a.taken+cost <= d.Allowance || a.taken == 0
-	d.Allowed = a.level >= need && inPart
+	d.Allowed = level >= need && inPart
 	if !d.Allowed {
-		d.Wait = max(round, time.Duration((need-a.level)/math.Max(rate, 1)*float64(time.Second)))
+		d.Wait = max(round, time.Duration((need-level)/math.Max(rate, 1)*float64(time.Second)))
 	}
 	return d, a
 }
@@ -356,7 +420,7 @@
 	a := q.accounts[workspace]
 	if a == nil {
 		now := q.now()
-		a = &account{filled: now, measured: now, fromFull: q.fresh}
+		a = &account{reach: 1, filled: now, measured: now, fromFull: q.fresh}
 		q.accounts[workspace] = a
 	}
 	return a
@@ -370,26 +434,57 @@
 	return max(0, a.size-a.level-a.rate*now.Sub(a.filled).Seconds()), true
 }
 
-func (a *account) fill(rate, size float64, now time.Time) {
-	a.level = min(size, a.level+rate*now.Sub(a.filled).Seconds())
+func (a *account) fill(now time.Time) {
+	passed := now.Sub(a.filled).Seconds()
+	a.level = min(a.size, a.level+a.rate*passed)
+	a.share = min(a.size*a.reach, a.share+a.rate*a.reach*passed)
 	a.filled = now
 }
 
+// hear notes which part of all instances is heard now. Those that have fallen
+// silent are left their part of what was in the bucket when the round began,
+// because all took of it since.
+func (a *account) hear(reach float64) {
+	if reach < a.reach {
+		base := a.level
+		if a.reach < 1 {
+			base = min(base, a.share)
+		}
+		a.share = (max(0, base)+a.taken)*reach/a.reach - a.taken
+	}
+	a.reach = reach
+}
+
+func (a *account) charge(cost float64) {
+	a.level -= cost
+	a.share -= cost
+}
+
 // turn begins a new round when all others have told their use since the last one
 // began, or have fallen silent.
 func (a *account) turn(now, oldest time.Time) {
 	if !oldest.Before(a.began) {
 		a.began, a.taken = now, 0
+		a.rounds++
 	}
 }
 
 // part is the part of the level that this instance may take in a round.
 func (a *account) part(now time.Time, others float64, heard, members int) float64 {
 	own := a.demandNow(now)
-	if heard == 0 || own+others <= 0 {
+	switch {
+	case heard == 0:
 		return 1
+	case a.rounds <= 1:
+		return 1 / float64(heard+1)
+	case own+others <= 0:
+		return 1
+	}
+	part := evenPart/float64(members) + partFactor*own/(own+others)
+	if now.Sub(a.began) > longRound*time.Duration((members+fewInstances-1)/fewInstances) {
+		part /= evenPart + partFactor
 	}
-	return min(1, evenPart/float64(members)+partFactor*own/(own+others))
+	return min(1, part)
 }
 
 func (a *account) ask(cost float64, now time.Time) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -47,6 +47,11 @@
 	f.started++
 	f.instances[i] = New(f.rules, usher.Incarnation(fmt.Sprint(f.started)), fresh, func() time.Time { return f.now })
 	f.instances[i].SetMembers(len(f.instances))
+	for other := range f.instances {
+		if other != i {
+			f.instances[i].Expect(fmt.Sprint("g", other))
+		}
+	}
 }
 
 func (f *fleet) exchange() {
@@ -234,3 +239,55 @@
 		t.Errorf("an instance that hears nobody sees %.0f and %d silent ones", d.Level, d.Silent)
 	}
 }
+
+// Instances that lose each other before they know the demand of the others keep
+// to equal parts of what was in the bucket then, and restarts add little.
+func TestRestartBehindAnEarlyCut(t *testing.T) {
+	f := newFleet(2, true)
+	f.exchange()
+	f.cut[1] = true
+	owed := 0.0
+	for passed := time.Duration(0); passed < 12*time.Second; passed += step {
+		f.now = f.now.Add(step)
+		switch passed {
+		case 1420 * time.Millisecond:
+			f.start(0, false)
+		case 2560 * time.Millisecond:
+			f.start(0, false)
+			f.start(1, false)
+		}
+		f.cut[1] = passed < 5*time.Second
+		if passed%round == 0 {
+			f.exchange()
+		}
+		for owed += 3.5 * f.workspace.Rate * step.Seconds(); owed >= 1000; owed -= 1000 {
+			f.ask(int(passed/step)%2, 1000)
+		}
+	}
+	if f.worst() > f.limit() {
+		t.Errorf("%.0f were used in a window, %.0f may be", f.worst(), f.limit())
+	}
+}
+
+// After a cut the instances know again what is left, and go on at once.
+func TestServesAtOnceAfterACut(t *testing.T) {
+	f := newFleet(4, true)
+	owed, served := 0.0, 0.0
+	for passed := time.Duration(0); passed < 6*time.Second; passed += step {
+		f.now = f.now.Add(step)
+		f.cut[3] = passed >= time.Second && passed < 4*time.Second
+		if passed%round == 0 {
+			f.exchange()
+		}
+		before := len(f.used)
+		for owed += 2 * f.workspace.Rate * step.Seconds(); owed >= 1000; owed -= 1000 {
+			f.ask(int(passed/step)%4, 1000)
+		}
+		if passed >= 4*time.Second {
+			served += float64(len(f.used)-before) * 1000
+		}
+	}
+	if owed := 2 * f.workspace.Rate; served < 0.9*owed {
+		t.Errorf("%.0f were served in two seconds after the cut, %.0f were owed", served, owed)
+	}
+}
