Quotas: give the burst in every window, not once

The rule counts rate*window + burst in any window; the bucket gave that once and then only the rate, 319,000 of 463,000 tokens a window for that workspace.

Change: size and fill of the bucket add up to the same sum over a window, with 0.4 of the burst in the size and the rest in the fill.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,10 +1,16 @@
 // Package quota holds workspaces to what they may use, over all instances.
 //
-// A workspace's quota is one bucket that fills at its rate up to a size. Each
-// instance keeps its own view of the bucket: it takes out what it lets through
-// at once, and what the others let through when their news arrive.
+// A workspace's quota is rate*window + burst in any window, over all instances.
+// It is kept by one bucket whose size and fill of a window add up to that. A part
+// of the burst is in the fill, so that a workspace that asks for a little more
+// than its rate all the time gets its burst in every window, and not once:
 //
-//	level = min(size, level + rate*time) - own use - news of others' use
+//	size = burstShare * burst    fill = rate + (1-burstShare) * burst/window
+//
+// Each instance keeps its own view of the bucket: it takes out what it lets
+// through at once, and what the others let through when their news arrive.
+//
+//	level = min(size, level + fill*time) - own use - news of others' use
 //
 // Between two rounds of news all instances could take the same tokens, so each
 // takes no more in a round than its part of the level by demand.
@@ -34,9 +40,12 @@
 	// silentAfter is how old news of another instance may be before it counts
 	// as silent.
 	silentAfter = 800 * time.Millisecond
-	// toleranceShare is the part of the rules' tolerance by which the bucket is
-	// larger than the burst. The rest covers news that are under way.
+	// toleranceShare is the part of the rules' tolerance that is added to the
+	// burst. The rest covers news that are under way.
 	toleranceShare = 0.4
+	// burstShare is the part of the burst that may be used at once. It holds the
+	// longest prompts several times over; see the simulation in the tests.
+	burstShare = 0.4
 	// evenPart is divided evenly and added to the parts by demand, so that the
 	// first requests of a workspace at an instance fit.
 	evenPart = 0.4
@@ -126,8 +135,9 @@
 	share, reach float64
 	filled       time.Time
 	used         float64
-	// rate and size are those of the whole bucket when it was last used.
-	rate, size float64
+	// fills is what comes into the whole bucket a second, and size what it holds,
+	// when it was last used.
+	fills, size float64
 	// demand is a second's worth, as of measured.
 	demand   float64
 	measured time.Time
@@ -210,7 +220,7 @@
 // held that part.
 func (q *Quota) chargeUnheard(silence time.Duration) {
 	for _, a := range q.accounts {
-		a.level = min(a.level, a.size) - (a.rate*min(silence, q.rules.Window).Seconds()+a.size)/float64(q.members)
+		a.level = min(a.level, a.size) - (a.fills*min(silence, q.rules.Window).Seconds()+a.size)/float64(q.members)
 	}
 }
 
@@ -218,7 +228,7 @@
 // news take out what it used of that.
 func (q *Quota) rejoin(silence time.Duration) {
 	for _, a := range q.accounts {
-		a.share += a.rate * silence.Seconds() / float64(q.members)
+		a.share += a.fills * silence.Seconds() / float64(q.members)
 	}
 }
 
@@ -355,8 +365,8 @@
 	members := max(q.members, heard+1)
 	d := Decision{Silent: members - 1 - heard}
 	reach := float64(heard+1) / float64(members)
-	size := q.size(workspace)
-	a.rate, a.size = workspace.Rate, size
+	fills, size := q.bucket(workspace)
+	a.fills, a.size = fills, size
 	if !a.begun {
 		// What was heard of the others' use before is in the level already.
 		a.begun = true
@@ -369,9 +379,9 @@
 	a.fill(now)
 	a.hear(reach)
 	a.turn(now, oldest)
-	rate, level := workspace.Rate, a.level
+	level := a.level
 	if reach < 1 {
-		rate, size, level = rate*reach, size*reach, min(level, a.share)
+		fills, size, level = fills*reach, size*reach, min(level, a.share)
 	}
 	d.Level, d.Taken = level, a.taken
 	d.Allowance = (max(0, level) + a.taken) * a.part(now, others, heard, members)
@@ -380,14 +390,15 @@
 	inPart := a.taken+cost <= d.Allowance || a.taken == 0
 	d.Allowed = level >= need && inPart
 	if !d.Allowed {
-		d.Wait = max(round, time.Duration((need-level)/math.Max(rate, 1)*float64(time.Second)))
+		d.Wait = max(round, time.Duration((need-level)/math.Max(fills, 1)*float64(time.Second)))
 	}
 	return d, a
 }
 
-// size is how much a full bucket holds.
-func (q *Quota) size(workspace *usher.WorkspaceSpec) float64 {
-	return workspace.Burst + toleranceShare*q.tolerance(workspace)
+// bucket returns what comes into the whole bucket a second, and what it holds.
+func (q *Quota) bucket(workspace *usher.WorkspaceSpec) (fills, size float64) {
+	burst := workspace.Burst + toleranceShare*q.tolerance(workspace)
+	return workspace.Rate + (1-burstShare)*burst/q.rules.Window.Seconds(), burstShare * burst
 }
 
 // tolerance is by how much the rules let the quota be passed in a window.
@@ -431,13 +442,13 @@
 	if !a.begun {
 		return max(0, -a.level), a.fromFull
 	}
-	return max(0, a.size-a.level-a.rate*now.Sub(a.filled).Seconds()), true
+	return max(0, a.size-a.level-a.fills*now.Sub(a.filled).Seconds()), true
 }
 
 func (a *account) fill(now time.Time) {
 	passed := now.Sub(a.filled).Seconds()
-	a.level = min(a.size, a.level+a.rate*passed)
-	a.share = min(a.size*a.reach, a.share+a.rate*a.reach*passed)
+	a.level = min(a.size, a.level+a.fills*passed)
+	a.share = min(a.size*a.reach, a.share+a.fills*a.reach*passed)
 	a.filled = now
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -235,7 +235,7 @@
 	}
 	f.now = f.now.Add(2 * time.Second)
 	d := f.instances[0].Ask(&f.workspace, 1)
-	if d.Silent != 3 || d.Level > f.instances[0].size(&f.workspace)/4+1 {
+	if _, size := f.instances[0].bucket(&f.workspace); d.Silent != 3 || d.Level > size/4+1 {
 		t.Errorf("an instance that hears nobody sees %.0f and %d silent ones", d.Level, d.Silent)
 	}
 }
@@ -291,3 +291,29 @@
 		t.Errorf("%.0f were served in two seconds after the cut, %.0f were owed", served, owed)
 	}
 }
+
+// A workspace gets its rate and its burst in every window, not the burst once,
+// and also while it asks for more.
+func TestBurstIsServedInEveryWindow(t *testing.T) {
+	f := newFleet(4, true)
+	f.workspace.Rate, f.workspace.Burst = 40000, 144000
+	owed := 0.0
+	for passed := time.Duration(0); passed < 40*time.Second; passed += step {
+		f.now = f.now.Add(step)
+		if passed%round == 0 {
+			f.exchange()
+		}
+		for owed += 2 * f.workspace.Rate * step.Seconds(); owed >= 3000; owed -= 3000 {
+			f.ask(int(passed/step)%4, 3000)
+		}
+	}
+	late := 0.0
+	for _, u := range f.used {
+		if u.at.After(f.now.Add(-f.rules.Window)) {
+			late += u.cost
+		}
+	}
+	if quota := f.workspace.Rate*f.rules.Window.Seconds() + f.workspace.Burst; late < 0.9*quota || f.worst() > f.limit() {
+		t.Errorf("%.0f were used in the last window of a quota of %.0f, and %.0f in the worst", late, quota, f.worst())
+	}
+}
