Share what instances have seen of the engines' speed

Cause: each of 28 gateways sends some four streams to each of 50 engines in half a minute, and a third of the engines are five times slower than the quickest, so that each alone learns them too late: streams that can't end before their deadline there are cut.

Change: the loads on the news carry pace and ratio as far as the sender has seen them itself in the last 1.5 s; an instance that has not takes them over. The line about a request tells the length hint and the events that were passed on.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -102,6 +102,10 @@
 	Running int
 	// Prefill is the prompt tokens of requests without a first event.
 	Prefill usher.Tokens
+	// PaceMS is the time between two events of a stream in milliseconds, and
+	// RatioPercent how much longer first events take than the model says. Both are
+	// zero unless the instance has seen them of late itself.
+	PaceMS, RatioPercent int
 }
 
 // New returns a scheduler without endpoints.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -47,6 +47,9 @@
 	plainQueue  = 2
 	// mostRatio bounds what is learned from one engine.
 	mostRatio = 50
+	// ownFor is for how long what an instance has seen itself goes before what
+	// others have seen, and is told to them.
+	ownFor = 1500 * time.Millisecond
 )
 
 // engine is what is known of one endpoint.
@@ -63,11 +66,15 @@
 	reach int
 
 	// ratio is how much longer first events take than the model says, and pace
-	// the time between events; both follow what was seen.
+	// the time between events; both follow what was seen here, or elsewhere if
+	// nothing was seen here of late.
 	ratio   float64
 	pace    time.Duration
 	seen    time.Time
 	failing float64
+	// ratioSeen and paceSeen are when this instance last saw them itself.
+	ratioSeen, paceSeen time.Time
+	heard               hearsay
 
 	suspended  time.Time
 	suspension time.Duration
@@ -277,7 +284,7 @@
 
 func (e *engine) observe(ratio float64, now time.Time) {
 	e.ratio = e.ratioNow(now) + (ratio-e.ratioNow(now))*learning
-	e.seen = now
+	e.seen, e.ratioSeen = now, now
 }
 
 // Events notes that n events have come since the last call.
@@ -292,6 +299,48 @@
 	gap := now.Sub(g.last) / time.Duration(n)
 	g.last = now
 	g.engine.pace += time.Duration(float64(gap-g.engine.pace) * learning)
+	g.engine.paceSeen = now
+}
+
+// told returns what the others should know of the engine.
+func (e *engine) told(now time.Time) Load {
+	load := e.own
+	if now.Sub(e.paceSeen) < ownFor {
+		load.PaceMS = int(e.pace.Milliseconds())
+	}
+	if now.Sub(e.ratioSeen) < ownFor {
+		load.RatioPercent = int(100 * e.ratioNow(now))
+	}
+	return load
+}
+
+// hearsay is what the other instances have seen of one engine.
+type hearsay struct {
+	paces, ratios int
+	pace, ratio   int
+}
+
+func (h *hearsay) add(load *Load) {
+	if load.PaceMS > 0 {
+		h.paces++
+		h.pace += load.PaceMS
+	}
+	if load.RatioPercent > 0 {
+		h.ratios++
+		h.ratio += load.RatioPercent
+	}
+}
+
+// believe takes over what others have seen of an engine that this instance has
+// sent nothing to of late. Where many instances share the engines, each alone
+// would know them only after a long time.
+func (e *engine) believe(h *hearsay, now time.Time) {
+	if h.paces > 0 && now.Sub(e.paceSeen) >= ownFor {
+		e.pace = time.Duration(h.pace) * time.Millisecond / time.Duration(h.paces)
+	}
+	if h.ratios > 0 && now.Sub(e.ratioSeen) >= ownFor {
+		e.ratio, e.seen = float64(h.ratio)/100/float64(h.ratios), now
+	}
 }
 
 // End gives the place back. It may be called more than once.
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -129,8 +129,8 @@
 	news := News{Loads: make(map[usher.EndpointName]Load), Demand: make(map[usher.ServiceName]Demand)}
 	for _, v := range s.services {
 		for name, e := range v.engines {
-			if e.own.Running > 0 {
-				news.Loads[name] = e.own
+			if load := e.told(now); load != (Load{}) {
+				news.Loads[name] = load
 			}
 		}
 		if demand := v.demand(now); demand.sum() > 0 {
@@ -204,7 +204,7 @@
 func (s *Scheduler) addLoads() {
 	for _, v := range s.services {
 		for _, e := range v.engines {
-			e.others = Load{}
+			e.others, e.heard = Load{}, hearsay{}
 		}
 	}
 	for _, p := range s.peers {
@@ -213,12 +213,15 @@
 				if e := v.engines[name]; e != nil {
 					e.others.Running += load.Running
 					e.others.Prefill += load.Prefill
+					e.heard.add(&load)
 				}
 			}
 		}
 	}
+	now := s.options.Now()
 	for _, v := range s.services {
 		for _, e := range v.engines {
+			e.believe(&e.heard, now)
 			free := max(0, e.slots(v.spec)-e.own.Running-e.others.Running)
 			e.reach = e.own.Running + free/len(s.members)
 		}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -56,6 +56,7 @@
 	at      *Scheduler
 	arrived time.Time
 	first   time.Time
+	ended   time.Time
 	refused *usher.Refusal
 	decided time.Time
 }
@@ -222,6 +223,7 @@
 		r.grant.First()
 	})
 	s.after(first+rest, func() {
+		r.ended = s.now
 		r.grant.Events(int(r.answer) / 6)
 		r.grant.End(Answered)
 		e.running--
@@ -388,3 +390,30 @@
 		t.Errorf("%.2f in time after one engine of twelve turned slow (%d sent there, %.2f in time)", all, n, late)
 	}
 }
+
+// Many instances, each of which sends few requests to each engine, know the slow
+// third of the engines as well as one would that sends them all: long answers go
+// where they end before their deadline.
+func TestSlowEnginesAreKnownToAll(t *testing.T) {
+	kinds := dumplings()
+	slowness := make([]float64, 24)
+	weights := make([]float64, 24)
+	for i := range slowness {
+		slowness[i], weights[i] = []float64{0.55, 0.9, 3.5}[i%3], 1
+	}
+	s := newSimulation(3, len(weights), slowness...)
+	s.run(12*time.Second, 0.9, weights, kinds)
+	late, all := 0, 0
+	for _, r := range s.sent {
+		if r.grant != nil {
+			all++
+			if r.ended.Sub(r.arrived) > r.kind.deadline {
+				late++
+			}
+		}
+	}
+	t.Logf("%d of %d answers ended after their deadline", late, all)
+	if late*200 > all {
+		t.Errorf("%d of %d answers ended after their deadline", late, all)
+	}
+}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -48,6 +48,7 @@
 	expected time.Duration
 	inside   int
 	first    time.Duration
+	events   int
 	status   int
 	outcome  usher.Outcome
 	detail   string
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -37,7 +37,7 @@
 		event = event.Str("workspace", string(j.workspace.Name))
 	}
 	event.Uint64("version", uint64(j.version)).Int64("proofAgeMs", g.Routes.Age().Milliseconds()).
-		Int("prompt", int(j.head.Cost.PromptTokens)).Int("answer", int(j.head.Cost.AnswerTokens)).
+		Int("prompt", int(j.head.Cost.PromptTokens)).Int("answer", int(j.head.Cost.AnswerTokens)).Int("hint", int(j.head.Hint)).Int("events", j.events).
 		Str("endpoint", string(j.endpoint)).Int("attempts", j.attempts).Int("inside", j.inside).
 		Int64("waitedMs", j.waited.Milliseconds()).Int64("expectedMs", j.expected.Milliseconds()).
 		Int64("firstMs", j.first.Milliseconds()).Int64("totalMs", total.Milliseconds()).
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,7 +26,6 @@
 	started bool
 	lastID  string
 	control *http.ResponseController
-	events  int
 	// broken is set when the caller can't be written to any more.
 	broken bool
 }
@@ -79,7 +78,7 @@
 		}
 		watch.progress()
 		s.begin(answer)
-		s.events++
+		j.events++
 		j.noteAnswer(event.Raw)
 		if _, err := j.writer.Write(event.Raw); err != nil {
 			s.broken = true
