Take the drawing of faults out of the orders' soak

The gateways' soak needs the same: kinds by weight, a target each, several at a time, by seed. internal/standin/chaos holds it; the soak of orders uses it.

--- a/internal/standin/soak/chaos.go
+++ b/internal/standin/soak/chaos.go
@@ -4,137 +4,61 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"syscall"
 	"time"
 
 	"filbertusher/internal/config"
 	"filbertusher/internal/pause"
+	"filbertusher/internal/standin/chaos"
 	"filbertusher/internal/standin/fault"
 	"filbertusher/internal/standin/fleet"
 	"filbertusher/internal/standin/store"
 	"filbertusher/pkg/usher"
 )
 
-// target is what one fault has to itself while it holds. Faults of different
-// targets overlap.
-type target struct {
-	mu   sync.Mutex
-	kind string
-	at   int
-}
-
-// chance is one kind of fault. hit brings it about, holds it and ends it.
-type chance struct {
-	name   string
-	target string
-	weight int
-	hit    func(ctx context.Context, random *rand.Rand, at int)
-}
-
-func (r *run) chances() []chance {
-	return []chance{
-		{"companion killed", "companion", 4, r.killCompanion},
-		{"companion stopped as planned", "companion", 2, r.stopCompanion},
-		{"companion frozen", "companion", 3, r.freezeCompanion},
-		{"companion frozen and replaced", "companion", 3, r.replaceCompanion},
-		{"entry killed", "entry", 2, r.killEntry},
-		{"entry frozen", "entry", 2, r.freezeEntry},
-		{"companion's link cut", "companionLink", 3, r.cutCompanion},
-		{"companion's link drops requests", "companionLink", 2, r.dropRequests},
-		{"companion's link drops replies", "companionLink", 2, r.dropReplies},
-		{"companion's link is slow", "companionLink", 2, r.slowCompanion},
-		{"endpoint's link cut", "desk", 2, r.cutDesk},
-		{"endpoint's link drops answers", "desk", 1, r.dropAnswers},
-		{"endpoint slow", "desk", 2, r.slowDesk},
-		{"companion cut off from the store", "storeLink", 2, r.cutStore},
-		{"store down", "store", 2, r.storeDown},
-		{"store slow", "store", 2, r.storeSlow},
-		{"store loses answers", "store", 3, r.storeLosesAnswers},
-		{"store writes late", "store", 3, r.storeWritesLate},
+func (r *run) chances() []chaos.Chance {
+	return []chaos.Chance{
+		{Name: "companion killed", Target: "companion", Weight: 4, Hit: r.killCompanion},
+		{Name: "companion stopped as planned", Target: "companion", Weight: 2, Hit: r.stopCompanion},
+		{Name: "companion frozen", Target: "companion", Weight: 3, Hit: r.freezeCompanion},
+		{Name: "companion frozen and replaced", Target: "companion", Weight: 3, Hit: r.replaceCompanion},
+		{Name: "entry killed", Target: "entry", Weight: 2, Hit: r.killEntry},
+		{Name: "entry frozen", Target: "entry", Weight: 2, Hit: r.freezeEntry},
+		{Name: "companion's link cut", Target: "companionLink", Weight: 3, Hit: r.cutCompanion},
+		{Name: "companion's link drops requests", Target: "companionLink", Weight: 2, Hit: r.dropRequests},
+		{Name: "companion's link drops replies", Target: "companionLink", Weight: 2, Hit: r.dropReplies},
+		{Name: "companion's link is slow", Target: "companionLink", Weight: 2, Hit: r.slowCompanion},
+		{Name: "endpoint's link cut", Target: "desk", Weight: 2, Hit: r.cutDesk},
+		{Name: "endpoint's link drops answers", Target: "desk", Weight: 1, Hit: r.dropAnswers},
+		{Name: "endpoint slow", Target: "desk", Weight: 2, Hit: r.slowDesk},
+		{Name: "companion cut off from the store", Target: "storeLink", Weight: 2, Hit: r.cutStore},
+		{Name: "store down", Target: "store", Weight: 2, Hit: r.storeDown},
+		{Name: "store slow", Target: "store", Weight: 2, Hit: r.storeSlow},
+		{Name: "store loses answers", Target: "store", Weight: 3, Hit: r.storeLosesAnswers},
+		{Name: "store writes late", Target: "store", Weight: 3, Hit: r.storeWritesLate},
 	}
 }
 
 // chaos brings about faults at random until ctx ends, and waits until the last
 // one is over.
 func (r *run) chaos(ctx context.Context) {
-	random := rand.New(rand.NewPCG(r.options.Seed, 1<<32))
-	chances := r.chances()
-	var targets []*target
-	for _, kind := range []string{"companion", "companionLink", "desk", "storeLink"} {
-		for at := range r.options.Desks {
-			targets = append(targets, &target{kind: kind, at: at})
-		}
-	}
-	for at := range r.options.Entries {
-		targets = append(targets, &target{kind: "entry", at: at})
-	}
-	targets = append(targets, &target{kind: "store"})
-	room := make(chan struct{}, r.options.Overlap)
-	var group sync.WaitGroup
-	defer group.Wait()
-	for ctx.Err() == nil {
-		pause.For(ctx, time.Duration(random.Int64N(int64(2*r.options.FaultGap))))
-		select {
-		case room <- struct{}{}:
-		case <-ctx.Done():
-			return
-		}
-		one := pick(random, chances)
-		own := free(random, targets, one.target)
-		if own == nil {
-			<-room
-			continue
-		}
-		// Each fault draws from a source of its own, so that its length does
-		// not depend on how the others ended.
-		source := rand.New(rand.NewPCG(random.Uint64(), 0))
-		r.count(one.name)
-		group.Go(func() {
-			one.hit(ctx, source, own.at)
-			own.mu.Unlock()
-			<-room
-		})
-	}
-}
-
-func pick(random *rand.Rand, chances []chance) chance {
-	total := 0
-	for _, one := range chances {
-		total += one.weight
-	}
-	left := random.IntN(total)
-	for _, one := range chances {
-		if left -= one.weight; left < 0 {
-			return one
-		}
-	}
-	return chances[0]
-}
-
-// free locks a target of the kind that no other fault has.
-func free(random *rand.Rand, targets []*target, kind string) *target {
-	start := random.IntN(len(targets))
-	for i := range targets {
-		one := targets[(start+i)%len(targets)]
-		if one.kind == kind && one.mu.TryLock() {
-			return one
-		}
-	}
-	return nil
-}
-
-func (r *run) count(name string) {
+	desks := r.options.Desks
+	chaos.Run(ctx, &chaos.Plan{
+		Seed: r.options.Seed, Chances: r.chances(), Overlap: r.options.Overlap, Gap: r.options.FaultGap,
+		Targets: map[string]int{
+			"companion": desks, "companionLink": desks, "desk": desks, "storeLink": desks,
+			"entry": r.options.Entries, "store": 1,
+		},
+		Began: r.count,
+	})
+}
+
+func (r *run) count(name string, _ int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.faults[name]++
 }
 
-// between returns a duration from least to most.
-func between(random *rand.Rand, least, most time.Duration) time.Duration {
-	return least + time.Duration(random.Int64N(int64(most-least)))
-}
-
 func (r *run) companion(at int) *fleet.Member {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,7 +96,7 @@
 	r.noteInFlight(at)
 	frozen := r.companion(at)
 	frozen.Signal(syscall.SIGSTOP)
-	pause.For(ctx, between(random, 100*time.Millisecond, 6*time.Second))
+	pause.For(ctx, chaos.Between(random, 100*time.Millisecond, 6*time.Second))
 	frozen.Signal(syscall.SIGCONT)
 }
 
@@ -182,9 +106,9 @@
 	old := r.companion(at)
 	old.Signal(syscall.SIGSTOP)
 	r.restartCompanion(at)
-	pause.For(ctx, between(random, 100*time.Millisecond, 4*time.Second))
+	pause.For(ctx, chaos.Between(random, 100*time.Millisecond, 4*time.Second))
 	old.Signal(syscall.SIGCONT)
-	pause.For(ctx, between(random, 100*time.Millisecond, 2*time.Second))
+	pause.For(ctx, chaos.Between(random, 100*time.Millisecond, 2*time.Second))
 	old.Kill()
 }
 
@@ -247,7 +171,7 @@
 	frozen := r.entries[at]
 	r.mu.Unlock()
 	frozen.Signal(syscall.SIGSTOP)
-	pause.For(ctx, between(random, 100*time.Millisecond, 4*time.Second))
+	pause.For(ctx, chaos.Between(random, 100*time.Millisecond, 4*time.Second))
 	frozen.Signal(syscall.SIGCONT)
 }
 
@@ -281,20 +205,20 @@
 	if r.proxies.Down(link) != nil {
 		return
 	}
-	pause.For(ctx, between(random, 0, 3*time.Second))
+	pause.For(ctx, chaos.Between(random, 0, 3*time.Second))
 	_ = r.proxies.Up(link)
 }
 
 func (r *run) dropRequests(ctx context.Context, random *rand.Rand, at int) {
-	r.toxic(ctx, r.link(at), drop(fault.Upstream), between(random, 100*time.Millisecond, 5*time.Second))
+	r.toxic(ctx, r.link(at), drop(fault.Upstream), chaos.Between(random, 100*time.Millisecond, 5*time.Second))
 }
 
 func (r *run) dropReplies(ctx context.Context, random *rand.Rand, at int) {
-	r.toxic(ctx, r.link(at), drop(fault.Downstream), between(random, 100*time.Millisecond, 5*time.Second))
+	r.toxic(ctx, r.link(at), drop(fault.Downstream), chaos.Between(random, 100*time.Millisecond, 5*time.Second))
 }
 
 func (r *run) slowCompanion(ctx context.Context, random *rand.Rand, at int) {
-	r.toxic(ctx, r.link(at), slow(between(random, 10*time.Millisecond, 300*time.Millisecond)), between(random, 100*time.Millisecond, 3*time.Second))
+	r.toxic(ctx, r.link(at), slow(chaos.Between(random, 10*time.Millisecond, 300*time.Millisecond)), chaos.Between(random, 100*time.Millisecond, 3*time.Second))
 }
 
 func (r *run) cutDesk(_ context.Context, _ *rand.Rand, at int) {
@@ -304,12 +228,12 @@
 
 func (r *run) dropAnswers(ctx context.Context, random *rand.Rand, at int) {
 	r.noteInFlight(at)
-	r.toxic(ctx, fmt.Sprintf("desk-%d", at), drop(fault.Downstream), between(random, 100*time.Millisecond, time.Second))
+	r.toxic(ctx, fmt.Sprintf("desk-%d", at), drop(fault.Downstream), chaos.Between(random, 100*time.Millisecond, time.Second))
 }
 
 func (r *run) slowDesk(ctx context.Context, random *rand.Rand, at int) {
-	_ = r.whole.Desks[at].Control(context.Background(), "delay", between(random, 10*time.Millisecond, 400*time.Millisecond).String())
-	pause.For(ctx, between(random, 100*time.Millisecond, 3*time.Second))
+	_ = r.whole.Desks[at].Control(context.Background(), "delay", chaos.Between(random, 10*time.Millisecond, 400*time.Millisecond).String())
+	pause.For(ctx, chaos.Between(random, 100*time.Millisecond, 3*time.Second))
 	_ = r.whole.Desks[at].Control(context.Background(), "delay", "2ms")
 }
 
@@ -318,7 +242,7 @@
 	if r.proxies.Down(link) != nil {
 		return
 	}
-	pause.For(ctx, between(random, 100*time.Millisecond, 3*time.Second))
+	pause.For(ctx, chaos.Between(random, 100*time.Millisecond, 3*time.Second))
 	_ = r.proxies.Up(link)
 }
 
@@ -329,20 +253,20 @@
 }
 
 func (r *run) storeDown(ctx context.Context, random *rand.Rand, _ int) {
-	r.storeFault(ctx, store.Faults{Down: true}, between(random, 100*time.Millisecond, 4*time.Second))
+	r.storeFault(ctx, store.Faults{Down: true}, chaos.Between(random, 100*time.Millisecond, 4*time.Second))
 }
 
 func (r *run) storeSlow(ctx context.Context, random *rand.Rand, _ int) {
-	delay := between(random, 10*time.Millisecond, 500*time.Millisecond)
-	r.storeFault(ctx, store.Faults{Delay: usher.Duration(delay)}, between(random, 100*time.Millisecond, 3*time.Second))
+	delay := chaos.Between(random, 10*time.Millisecond, 500*time.Millisecond)
+	r.storeFault(ctx, store.Faults{Delay: usher.Duration(delay)}, chaos.Between(random, 100*time.Millisecond, 3*time.Second))
 }
 
 func (r *run) storeLosesAnswers(ctx context.Context, random *rand.Rand, _ int) {
-	r.storeFault(ctx, store.Faults{LoseAnswers: 1 + random.IntN(20)}, between(random, 100*time.Millisecond, 2*time.Second))
+	r.storeFault(ctx, store.Faults{LoseAnswers: 1 + random.IntN(20)}, chaos.Between(random, 100*time.Millisecond, 2*time.Second))
 }
 
 func (r *run) storeWritesLate(ctx context.Context, random *rand.Rand, _ int) {
-	late := between(random, 10*time.Millisecond, 4*time.Second)
+	late := chaos.Between(random, 10*time.Millisecond, 4*time.Second)
 	faults := store.Faults{LateWrites: 1 + random.IntN(20), LateBy: usher.Duration(late)}
-	r.storeFault(ctx, faults, between(random, 100*time.Millisecond, 2*time.Second))
+	r.storeFault(ctx, faults, chaos.Between(random, 100*time.Millisecond, 2*time.Second))
 }
