--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -78,6 +78,8 @@
 	metricsPort int
 	logLevel    string
 
+	// hangup gets the signals that tell of changed settings.
+	hangup    chan os.Signal
 	settings  atomic.Pointer[platform.Settings]
 	log       zerolog.Logger
 	admin     *admin.Server
@@ -107,7 +109,7 @@
 
 func newGatewayCommand() *Command {
 	command := New("gateway", "serve callers of the platform and send to endpoints directly")
-	p := &gatewayProcess{}
+	p := &gatewayProcess{hangup: make(chan os.Signal, 1)}
 	command.Settings.Text(&p.config, "config", "/etc/filbertusher/settings.toml", true, "the platform's settings file")
 	command.Settings.Int(&p.metricsPort, "metrics-port", defaultMetricsPort, 1, 65535, "where metrics and the dump are served")
 	command.Settings.Choice(&p.logLevel, "log-level", "info", []string{"debug", "info", "warn", "error"}, "the least severe lines to write")
@@ -116,6 +118,10 @@
 }
 
 func (p *gatewayProcess) run(signalled context.Context, out, _ io.Writer) error {
+	// Before the settings are read: a change that is signalled while the process
+	// starts would end it otherwise.
+	signal.Notify(p.hangup, syscall.SIGHUP)
+	defer signal.Stop(p.hangup)
 	settings, err := platform.Load(p.config)
 	if err != nil {
 		return err
@@ -338,9 +344,6 @@
 
 // reload takes in changes of the settings file, on a signal and without one.
 func (p *gatewayProcess) reload(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
 	modified := modifiedAt(p.config)
@@ -348,7 +351,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-p.hangup:
 		case <-ticker.C:
 			if now := modifiedAt(p.config); now.Equal(modified) {
 				continue
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -58,6 +58,10 @@
 func (j *job) watch(at *usher.Registration, ask *dispatch.Ask, cancel context.CancelCauseFunc) *mover {
 	m := &mover{job: j, at: at, ask: ask, cancel: cancel, last: time.Now()}
 	if ask != nil {
+		// The timer may fire before it is assigned, when the process stands still
+		// in between.
+		m.mu.Lock()
+		defer m.mu.Unlock()
 		m.timer = time.AfterFunc(m.patience(), m.look)
 	}
 	return m
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -474,6 +474,38 @@
 	s.served(g, "/check/a")
 }
 
+// A change of the settings that is signalled while a process starts does not end
+// it.
+func TestHangupWhileStarting(t *testing.T) {
+	s := newSite(t)
+	desk := newReplica(t, "d1", "desk", 4, 0)
+	s.register(desk, "ready")
+	g := s.prepare("g1")
+	text, err := os.ReadFile(g.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The process waits in the middle of its start until the file is written.
+	if err := errors.Join(os.Remove(g.config), syscall.Mkfifo(g.config, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.launch(g); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.OpenFile(g.config, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Signal(syscall.SIGHUP)
+	time.Sleep(50 * time.Millisecond)
+	if err := errors.Join(os.Remove(g.config), os.WriteFile(g.config, text, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	_, _ = file.Write(text)
+	_ = file.Close()
+	s.served(g, "/check/a")
+}
+
 // Two gateways tell one another what workspaces use and what they know.
 func TestGatewaysShareTheirNews(t *testing.T) {
 	s := newSite(t)
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -17,10 +17,12 @@
 type replica struct {
 	id      string
 	service string
-	events  int
-	places  chan struct{}
-	queue   int
-	server  *httptest.Server
+	// via is where gateways reach it, if not directly.
+	via    string
+	events int
+	places chan struct{}
+	queue  int
+	server *httptest.Server
 
 	mu sync.Mutex
 	// behaviour of the requests to come.
@@ -35,10 +37,17 @@
 	poison  string
 	runs    map[string]int
 	headers []http.Header
+	began   []began
 	waiting int
 	left    int
 }
 
+// began is when a request of a workspace began to run.
+type began struct {
+	at        time.Time
+	workspace string
+}
+
 func newReplica(t *testing.T, id, service string, slots, events int) *replica {
 	t.Helper()
 	r := &replica{
@@ -117,6 +126,7 @@
 	r.mu.Lock()
 	r.runs[id]++
 	r.headers = append(r.headers, q.Header.Clone())
+	r.began = append(r.began, began{time.Now(), q.Header.Get("X-Filbertusher-Tenant-Id")})
 	fails, resets := r.failures > 0, r.resets > 0
 	if fails {
 		r.failures--
--- a/test/gateway/site_test.go
+++ b/test/gateway/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -38,7 +39,11 @@
 	keys     []string
 	quota    float64
 	revokeMS int
-	gateways []*gateway
+	// busyQuota is the rate and burst of a second workspace, if there is one, whose
+	// credential is "busy".
+	busyQuota float64
+	// storeVia is where gateways reach the store, if not directly.
+	storeVia string
 }
 
 type gateway struct {
@@ -71,6 +76,10 @@
 // configure writes the next version of the configuration, as the operator does.
 func (s *site) configure() {
 	s.version += 3
+	tenants := []map[string]any{{"name": "school", "api_keys": s.keys, "unit": "tokens", "plain_tokens": 200, "rate_per_s": s.quota, "burst": s.quota}}
+	if s.busyQuota > 0 {
+		tenants = append(tenants, map[string]any{"name": "busy", "api_keys": []string{"busy"}, "unit": "tokens", "plain_tokens": 200, "rate_per_s": s.busyQuota, "burst": s.busyQuota})
+	}
 	s.write("config/main", map[string]any{
 		"version": s.version, "routes": s.routes,
 		"services": []map[string]any{
@@ -79,7 +88,7 @@
 			{"name": "desk2", "max_connections": 100},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "school", "api_keys": s.keys, "unit": "tokens", "plain_tokens": 200, "rate_per_s": s.quota, "burst": s.quota}},
+		"tenants": tenants,
 	})
 }
 
@@ -98,7 +107,7 @@
 // register puts a replica into the store.
 func (s *site) register(r *replica, state string) {
 	s.write(usher.ObjectKey("servers/"+r.id), map[string]any{
-		"service": r.service, "address": r.address(), "zone": "z1", "version": "v1", "slots": cap(r.places),
+		"service": r.service, "address": cmp.Or(r.via, r.address()), "zone": "z1", "version": "v1", "slots": cap(r.places),
 		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1700000000000,
 	})
 }
@@ -167,33 +176,47 @@
 address = %q
 form = "objects"
 writes_per_s = 400
-`, name, seeds, addresses[0], addresses[1], addresses[2], s.revokeMS, s.store.Listener.Addr().String())
+`, name, seeds, addresses[0], addresses[1], addresses[2], s.revokeMS, cmp.Or(s.storeVia, s.store.Listener.Addr().String()))
 }
 
 func (s *site) gateway(name string) *gateway {
+	s.t.Helper()
+	g := s.prepare(name)
+	s.start(g)
+	return g
+}
+
+// prepare writes the settings of a gateway.
+func (s *site) prepare(name string) *gateway {
 	s.t.Helper()
 	addresses := [3]string{freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)}
 	g := &gateway{config: filepath.Join(s.t.TempDir(), name+".toml"), callers: addresses[0], readiness: addresses[1], metrics: freeAddress(s.t)}
 	if err := os.WriteFile(g.config, []byte(s.settings(name, addresses, "")), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	s.start(g)
 	return g
 }
 
 func (s *site) start(g *gateway) {
 	s.t.Helper()
+	if err := s.launch(g); err != nil {
+		s.t.Fatal(err)
+	}
+	s.until("the gateway is ready", func() bool { return g.ready() == http.StatusOK })
+}
+
+// launch starts the process and does not wait until it is ready.
+func (s *site) launch(g *gateway) error {
 	_, port, err := net.SplitHostPort(g.metrics)
 	if err != nil {
-		s.t.Fatal(err)
+		return err
 	}
-	started, err := fleet.Start("gateway", binaries.Product, "gateway", "--config", g.config, "--metrics-port", port)
+	g.Process, err = fleet.Start("gateway", binaries.Product, "gateway", "--config", g.config, "--metrics-port", port)
 	if err != nil {
-		s.t.Fatal(err)
+		return err
 	}
-	g.Process = started
-	s.t.Cleanup(started.Kill)
-	s.until("the gateway is ready", func() bool { return g.ready() == http.StatusOK })
+	s.t.Cleanup(g.Process.Kill)
+	return nil
 }
 
 // ready returns what the balancer is told.
