--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -170,3 +170,33 @@
 		grant.End(Answered)
 	}
 }
+
+// BenchmarkHeard takes in the news of one of 330 instances, each of which has
+// requests at twenty of 770 endpoints.
+func BenchmarkHeard(b *testing.B) {
+	const instances, endpoints, loads = 330, 770, 20
+	names := make([]string, endpoints)
+	for i := range names {
+		names[i] = fmt.Sprint("e", i)
+	}
+	s := scheduler(time.Now, Spec{Engine: true, Slots: 8, TokensPerEvent: 6}, names...)
+	members := make([]string, instances)
+	news := make([]News, instances)
+	for i := range members {
+		members[i] = fmt.Sprint("g", i)
+		news[i] = News{Loads: make(map[usher.EndpointName]Load), Demand: map[usher.ServiceName]Demand{"s": {0: 3}}}
+		for j := range loads {
+			news[i].Loads[usher.EndpointName(names[(i*7+j*31)%endpoints])] = Load{Running: 1, PaceMS: 20}
+		}
+	}
+	s.SetMembers(append(members, "g"))
+	for i, member := range members {
+		s.Heard(member, news[i])
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		s.Heard(members[i%instances], news[i%instances])
+		i++
+	}
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -320,21 +320,23 @@
 	pace, ratio   int
 }
 
-func (h *hearsay) add(load *Load) {
+// add counts what one instance has seen, or takes it out with a sign of -1.
+func (h *hearsay) add(load *Load, sign int) {
 	if load.PaceMS > 0 {
-		h.paces++
-		h.pace += load.PaceMS
+		h.paces += sign
+		h.pace += sign * load.PaceMS
 	}
 	if load.RatioPercent > 0 {
-		h.ratios++
-		h.ratio += load.RatioPercent
+		h.ratios += sign
+		h.ratio += sign * load.RatioPercent
 	}
 }
 
 // believe takes over what others have seen of an engine that this instance has
 // sent nothing to of late. Where many instances share the engines, each alone
 // would know them only after a long time.
-func (e *engine) believe(h *hearsay, now time.Time) {
+func (e *engine) believe(now time.Time) {
+	h := &e.heard
 	if h.paces > 0 && now.Sub(e.paceSeen) >= ownFor {
 		e.pace = time.Duration(h.pace) * time.Millisecond / time.Duration(h.paces)
 	}
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -97,11 +97,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
+	old := s.peers[name]
 	s.peers[name] = &peer{news: news, seen: now}
 	if now.Sub(s.settled) >= settleEvery {
 		s.settle(now)
 	} else {
-		s.addLoads()
+		if old != nil {
+			s.countLoads(old.news.Loads, -1, now)
+		}
+		s.countLoads(news.Loads, 1, now)
+		s.stretch()
 	}
 	for _, v := range s.services {
 		if v.line.len() > 0 {
@@ -201,27 +206,39 @@
 	return v.parts
 }
 
+// addLoads counts anew what the others have at each endpoint.
 func (s *Scheduler) addLoads() {
+	now := s.options.Now()
 	for _, v := range s.services {
 		for _, e := range v.engines {
 			e.others, e.heard = Load{}, hearsay{}
 		}
 	}
 	for _, p := range s.peers {
-		for name, load := range p.news.Loads {
-			for _, v := range s.services {
-				if e := v.engines[name]; e != nil {
-					e.others.Running += load.Running
-					e.others.Prefill += load.Prefill
-					e.heard.add(&load)
-				}
+		s.countLoads(p.news.Loads, 1, now)
+	}
+	s.stretch()
+}
+
+// countLoads adds the loads of one instance, or takes them out with a sign of -1.
+func (s *Scheduler) countLoads(loads map[usher.EndpointName]Load, sign int, now time.Time) {
+	for name, load := range loads {
+		for _, v := range s.services {
+			if e := v.engines[name]; e != nil {
+				e.others.Running += sign * load.Running
+				e.others.Prefill += usher.Tokens(sign) * load.Prefill
+				e.heard.add(&load, sign)
+				e.believe(now)
 			}
 		}
 	}
-	now := s.options.Now()
+}
+
+// stretch works out how far this instance may go at each endpoint until the next
+// news of the others.
+func (s *Scheduler) stretch() {
 	for _, v := range s.services {
 		for _, e := range v.engines {
-			e.believe(&e.heard, now)
 			free := max(0, e.slots(v.spec)-e.own.Running-e.others.Running)
 			e.reach = e.own.Running + free/len(s.members)
 		}
