Leave out of the news what only new processes need

A sixth of each is what is missing in the buckets of quotas, which a process reads in its first second only.

Change: a process says that it is learning, and only its calls are answered with that part.

--- a/internal/peering/methods.go
+++ b/internal/peering/methods.go
@@ -22,7 +22,7 @@
 	if news.Name != "" && news.Name != m.peering.self.Name {
 		m.peering.learn(news)
 	}
-	*reply = *m.peering.news()
+	*reply = *m.peering.news(news.Quota.Learning)
 	return nil
 }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -177,7 +177,7 @@
 	defer cancel()
 	asked := boottime.Now()
 	var reply News
-	err := known.link.Call(limited, serviceName+".Exchange", p.news(), &reply)
+	err := known.link.Call(limited, serviceName+".Exchange", p.news(false), &reply)
 	if ctx.Err() != nil {
 		return
 	}
@@ -194,7 +194,9 @@
 	p.catchUp(ctx, known, &reply)
 }
 
-func (p *Peering) news() *News {
+// news returns what a peer should know. What only a process needs that has just
+// started makes up a sixth of them and is left out for others.
+func (p *Peering) news(started bool) *News {
 	p.mu.Lock()
 	members := len(p.peers) + 1
 	p.mu.Unlock()
@@ -203,7 +205,7 @@
 		Name:    p.self.Name, Incarnation: p.self.Incarnation, Address: p.self.Address,
 		Version: p.parts.Routes.Version(), ProofAge: p.parts.Routes.Age(),
 		RosterRevision: p.parts.Roster.Snapshot().Revision,
-		Dispatch:       p.parts.Scheduler.News(), Quota: p.parts.Quota.News(), Suspects: p.parts.Suspects.Shared(),
+		Dispatch:       p.parts.Scheduler.News(), Quota: p.parts.Quota.News(started), Suspects: p.parts.Suspects.Shared(),
 	}
 }
 
@@ -278,7 +280,7 @@
 		l := link.New(address)
 		limited, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		var reply News
-		err := l.Call(limited, serviceName+".Exchange", p.news(), &reply)
+		err := l.Call(limited, serviceName+".Exchange", p.news(false), &reply)
 		cancel()
 		if err == nil && reply.Name != "" {
 			instance := usher.GatewayInstance{Name: reply.Name, Incarnation: reply.Incarnation, Address: address}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -83,8 +83,10 @@
 	// Demand is what callers ask for a second.
 	Demand Used
 	// Missing is what is missing in the buckets until they are full, from an
-	// instance that has seen a whole window; otherwise nil.
-	Missing Used
+	// instance that has seen a whole window and for one that is Learning; otherwise
+	// nil.
+	Missing  Used
+	Learning bool
 }
 
 // Rules are by how much the sum over all instances may pass a quota in any
@@ -210,11 +212,14 @@
 		}
 	}
 	known.news, known.seen = news, q.now()
-	if !q.fresh && q.now().Sub(q.started) < learningTime {
+	if q.learning() {
 		q.takeOver(news.Missing)
 	}
 }
 
+// learning says whether this process still takes over what the others know.
+func (q *Quota) learning() bool { return !q.fresh && q.now().Sub(q.started) < learningTime }
+
 // chargeUnheard takes out what an instance may have used that was not heard for a
 // while and is gone since: its equal part. Nobody will tell of it. The share never
 // held that part.
@@ -281,13 +286,13 @@
 	return heard >= q.members-1
 }
 
-// News returns what the others should know.
-func (q *Quota) News() News {
+// News returns what another instance should know that is learning or not.
+func (q *Quota) News(learning bool) News {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
-	news := News{Incarnation: q.self, Age: now.Sub(q.started), Used: make(Used, len(q.accounts)), Demand: make(Used, len(q.accounts))}
-	if q.experienced() && q.hearsAll(now) {
+	news := News{Incarnation: q.self, Age: now.Sub(q.started), Learning: q.learning(), Used: make(Used, len(q.accounts)), Demand: make(Used, len(q.accounts))}
+	if learning && q.experienced() && q.hearsAll(now) {
 		news.Missing = make(Used, len(q.accounts))
 		for name, a := range q.accounts {
 			if missing, known := a.missing(now); known {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -58,7 +58,7 @@
 	for i, q := range f.instances {
 		for j, other := range f.instances {
 			if i != j && !f.cut[i] && !f.cut[j] {
-				other.Heard(f.names[i], q.News())
+				other.Heard(f.names[i], q.News(other.News(false).Learning))
 			}
 		}
 	}
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -470,17 +470,18 @@
 	s.mu.Unlock()
 }
 
-// rotate takes the credential away and hands out another.
-func (s *soak) rotate(ctx context.Context, _ *rand.Rand, _ int) {
+// rotate takes the credential away and hands out another, which has been in force
+// for a while then. It doesn't end early with the faults.
+func (s *soak) rotate(context.Context, *rand.Rand, int) {
 	next := fmt.Sprint("key-", time.Now().UnixNano())
 	old := s.current()
 	s.keys = []string{old, next}
 	s.configure()
-	pause.For(ctx, time.Duration(s.revokeMS)*time.Millisecond)
+	time.Sleep(time.Duration(s.revokeMS) * time.Millisecond)
 	s.mu.Lock()
 	s.key = next
 	s.mu.Unlock()
-	pause.For(ctx, 300*time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
 	s.keys = []string{next}
 	s.configure()
 	s.mu.Lock()
