--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 TOOL     := $(GO) tool -modfile=tools/go.mod
 PACKAGES := ./...
 
-.PHONY: experiment-short report all build test unit race fmt fmt-check lint vet demo bench experiment soak scale clean
+.PHONY: experiment-short report all build test unit race fmt fmt-check lint vet demo bench experiment soak soak-gateways scale clean
 
 all: build
 
@@ -45,6 +45,14 @@
 soak: build
 	./bin/standin soak -binary ./bin/filbertusher
 
+# SEED is the first of 50 seeds; others each time unless one is given.
+SEED ?= $(shell date +%s)
+
+# soak-gateways plays random faults over gateways, replicas and the store, and
+# fails when any promise to a caller was broken.
+soak-gateways:
+	go test ./test/gateway -run 'TestSoak$$' -count=1 -v -timeout 20m -soak.seeds 50 -soak.first $(SEED) -soak.time 7s
+
 # scale runs up to a few hundred processes on this machine; it takes minutes.
 scale: build
 	./bin/standin scale -binary ./bin/filbertusher -sizes 20,60,120,240 -idle 5s
--- a/test/gateway/site_test.go
+++ b/test/gateway/site_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,7 @@
 // a plain service, and gateways as processes of their own.
 type site struct {
 	t        *testing.T
+	ip       string
 	memory   *store.Memory
 	store    *httptest.Server
 	version  int
@@ -59,7 +61,7 @@
 
 func newSite(t *testing.T) *site {
 	t.Helper()
-	s := &site{t: t, memory: store.NewMemory(), keys: []string{"key"}, revokeMS: 2000}
+	s := &site{t: t, ip: newIP(), memory: store.NewMemory(), keys: []string{"key"}, revokeMS: 2000}
 	server := store.New(s.memory, store.Budget{ReadsPerSecond: 2000, WritesPerSecond: 400}, 0)
 	s.store = httptest.NewServer(server.Handler())
 	t.Cleanup(s.store.Close)
@@ -136,21 +138,36 @@
 	_ = response.Body.Close()
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.1.3:0")
-	if err != nil {
-		t.Fatal(err)
+// sites counts the sites of this process.
+var sites atomic.Uint32
+
+// newIP returns a loopback address that no other site has, here or in another
+// test process, so that their gateways don't take each other's ports.
+func newIP() string {
+	const hosts = 250
+	return fmt.Sprintf("127.%d.%d.3", 2+os.Getpid()%hosts, sites.Add(1)%hosts)
+}
+
+// freeAddresses returns addresses that nobody listens on, all different.
+func (s *site) freeAddresses(n int) []string {
+	s.t.Helper()
+	var addresses []string
+	for range n {
+		listener, err := net.Listen("tcp", s.ip+":0")
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	return addresses
 }
 
 // settings returns the settings file of a gateway, as the platform writes it.
 func (s *site) settings(name string, addresses [3]string, seeds string) string {
 	return fmt.Sprintf(`node_name = %q
 role = "gateway"
-ip = "127.0.1.3"
+ip = %q
 zone = "z1"
 seeds = [%s]
 bootstrap = true
@@ -176,7 +193,7 @@
 address = %q
 form = "objects"
 writes_per_s = 400
-`, name, seeds, addresses[0], addresses[1], addresses[2], s.revokeMS, cmp.Or(s.storeVia, s.store.Listener.Addr().String()))
+`, name, s.ip, seeds, addresses[0], addresses[1], addresses[2], s.revokeMS, cmp.Or(s.storeVia, s.store.Listener.Addr().String()))
 }
 
 func (s *site) gateway(name string) *gateway {
@@ -189,9 +206,9 @@
 // prepare writes the settings of a gateway.
 func (s *site) prepare(name string) *gateway {
 	s.t.Helper()
-	addresses := [3]string{freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)}
-	g := &gateway{config: filepath.Join(s.t.TempDir(), name+".toml"), callers: addresses[0], readiness: addresses[1], metrics: freeAddress(s.t)}
-	if err := os.WriteFile(g.config, []byte(s.settings(name, addresses, "")), 0o600); err != nil {
+	addresses := s.freeAddresses(4)
+	g := &gateway{config: filepath.Join(s.t.TempDir(), name+".toml"), callers: addresses[0], readiness: addresses[1], metrics: addresses[3]}
+	if err := os.WriteFile(g.config, []byte(s.settings(name, [3]string(addresses), "")), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 	return g
@@ -202,7 +219,11 @@
 	if err := s.launch(g); err != nil {
 		s.t.Fatal(err)
 	}
-	s.until("the gateway is ready", func() bool { return g.ready() == http.StatusOK })
+	for end := time.Now().Add(patience); g.ready() != http.StatusOK; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("the gateway is not ready after %v: %s", patience, g.Log())
+		}
+	}
 }
 
 // launch starts the process and does not wait until it is ready.
--- a/test/outcome/outcome_test.go
+++ b/test/outcome/outcome_test.go
@@ -48,6 +48,7 @@
 		defer cancel()
 		s := &script{ctx: ctx, proxies: fault.New(), orders: make(map[string]*order), names: make(map[string]string), tickets: make(map[string]string)}
 		defer s.close()
+		defer s.tell(t)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			return s.run(t, d)
 		})
@@ -76,6 +77,16 @@
 	result string
 }
 
+// tell shows what every process logged when the script failed.
+func (s *script) tell(t *testing.T) {
+	if !t.Failed() || s.whole == nil {
+		return
+	}
+	for _, member := range s.whole.Members() {
+		t.Logf("%s:\n%s", member.Name, member.Log())
+	}
+}
+
 func (s *script) close() {
 	for _, o := range s.orders {
 		o.cancel()
