Count a crash on from what the sender of the request knew

The logs show it: the companion at the second crash had not heard of the first, counted its own as the first too, and of two equal counts one is lost when they meet. The request carried the count that its entry knew; it was used to run the question alone only.

Change: a crash counts on from the higher of the two. For gateways, whose requests carry no count, nothing changes.

Measured: TestCrashCountsOnWhatTheSenderKnew failed before (1 for 2).

--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -101,9 +101,11 @@
 func (t *Table) Shared() []Suspect { return *t.shared.Load() }
 
 // Crashed notes that the request was in an endpoint that crashed and returns
-// how often that was.
+// how often that was. The sender may have known of crashes that this process has
+// not heard of yet; to count from its own would lose them, because the higher
+// count wins.
 func (t *Table) Crashed(header *usher.RequestHeader) int {
-	return t.update(header, func(s *Suspect) { s.Crashes++ })
+	return t.update(header, func(s *Suspect) { s.Crashes = max(s.Crashes, header.Crashes) + 1 })
 }
 
 // Cleared notes that the request ended while it ran alone.
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -102,3 +102,18 @@
 		t.Error("a suspect that gave up kept the gate closed")
 	}
 }
+
+// A process that has not heard of the first crash counts the second one as such,
+// because the request says how often it has crashed endpoints before.
+func TestCrashCountsOnWhatTheSenderKnew(t *testing.T) {
+	first, second := suspect.NewTable(), suspect.NewTable()
+	header := &usher.RequestHeader{Workspace: "w", Digest: "a"}
+	header.Crashes = first.Crashed(header)
+	if got := second.Crashed(header); got != 2 {
+		t.Errorf("the second crash counts as %d", got)
+	}
+	first.Learn(second.Shared())
+	if got := first.Crashes(func() suspect.Fingerprint { return suspect.Of(header) }); got != 2 {
+		t.Errorf("the first process knows of %d crashes", got)
+	}
+}
--- a/test/outcome/crash_test.go
+++ b/test/outcome/crash_test.go
@@ -40,6 +40,11 @@
 	t.Cleanup(func() {
 		stop()
 		restarting.Wait()
+		if t.Failed() {
+			for _, member := range whole.Members() {
+				t.Logf("%s:\n%s", member.Name, member.Log())
+			}
+		}
 		whole.Close()
 	})
 	for _, one := range whole.Engines {
