--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -43,8 +43,9 @@
 	// toleranceShare is the part of the rules' tolerance that is added to the
 	// burst. The rest covers news that are under way.
 	toleranceShare = 0.4
-	// burstShare is the part of the burst that may be used at once. It holds the
-	// longest prompts several times over; see the simulation in the tests.
+	// burstShare is the part of the burst that may be used at once; the rest comes in
+	// evenly over a window. A smaller bucket refuses the longest prompts, a larger
+	// one those that ask for a little more than the rate all the time.
 	burstShare = 0.4
 	// evenPart is divided evenly and added to the parts by demand, so that the
 	// first requests of a workspace at an instance fit.
