--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -241,32 +241,41 @@
 }
 
 // Instances that lose each other before they know the demand of the others keep
-// to equal parts of what was in the bucket then, and restarts add little.
+// to equal parts of what was in the bucket then, and restarts add little. The
+// cases are draws that once passed the bound.
 func TestRestartBehindAnEarlyCut(t *testing.T) {
-	f := newFleet(2, true)
-	f.exchange()
-	f.cut[1] = true
-	owed := 0.0
-	for passed := time.Duration(0); passed < 12*time.Second; passed += step {
-		f.now = f.now.Add(step)
-		switch passed {
-		case 1420 * time.Millisecond:
-			f.start(0, false)
-		case 2560 * time.Millisecond:
-			f.start(0, false)
-			f.start(1, false)
-		}
-		f.cut[1] = passed < 5*time.Second
-		if passed%round == 0 {
-			f.exchange()
+	for _, c := range []struct {
+		load                  float64
+		single, herd, cutFrom time.Duration
+	}{
+		{3.5, 1420 * time.Millisecond, 2560 * time.Millisecond, 0},
+		{7, 500 * time.Millisecond, 1860 * time.Millisecond, 0},
+		{7, 0, 560 * time.Millisecond, 100 * time.Millisecond},
+		{3, 4940 * time.Millisecond, 420 * time.Millisecond, 0},
+	} {
+		f := newFleet(2, true)
+		owed := 0.0
+		for passed := time.Duration(0); passed < 24*time.Second; passed += step {
+			f.now = f.now.Add(step)
+			if passed == c.herd {
+				f.start(0, false)
+				f.start(1, false)
+			}
+			if passed == c.single {
+				f.start(0, false)
+			}
+			f.cut[1] = passed > c.cutFrom && passed < c.cutFrom+5*time.Second
+			if passed%round == 0 {
+				f.exchange()
+			}
+			for owed += c.load * f.workspace.Rate * step.Seconds(); owed >= 1000; owed -= 1000 {
+				f.ask(int(passed/step)%2, 1000)
+			}
 		}
-		for owed += 3.5 * f.workspace.Rate * step.Seconds(); owed >= 1000; owed -= 1000 {
-			f.ask(int(passed/step)%2, 1000)
+		if f.worst() > f.limit() {
+			t.Errorf("%+v: %.0f were used in a window, %.0f may be", c, f.worst(), f.limit())
 		}
 	}
-	if f.worst() > f.limit() {
-		t.Errorf("%.0f were used in a window, %.0f may be", f.worst(), f.limit())
-	}
 }
 
 // After a cut the instances know again what is left, and go on at once.
