Bound what an endpoint may send in place of a response

Cause: net/http reads a status line, header lines and interim responses of any length. An endpoint that sends bytes without end there made a gateway grow until it ran out of memory (6.4 GB after some seconds in the new test on the code before). A stream of blank lines cost time with the square of its length: 36 s for 256 KB.

Change: 64 KB for the header of a response with its interim responses, four responses to other requests, 256 KB for an event (all streams may hold one at once; 1 MB before), and one look at each line of an event.

Chunk headers, extensions and trailers were bounded by net/http already.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -37,6 +37,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// head bounds what reader may take from the connection while a header is read.
+	head *headLimiter
 	// served is the number of responses received on the connection.
 	served int
 	// idleBefore is how long the connection was idle before its current request.
@@ -75,7 +77,36 @@
 		return nil, err
 	}
 	p.increment(&p.dialed)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	head := &headLimiter{conn: raw, remaining: noHeadLimit}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}, nil
+}
+
+const (
+	// maxHeadBytes bounds the header of a response together with those of the interim
+	// responses before it, because net/http reads headers of any length.
+	maxHeadBytes = 64 << 10
+	// noHeadLimit is the remaining number of bytes while no header is read.
+	noHeadLimit = -1
+)
+
+// headLimiter reads from a connection and fails after maxHeadBytes of header, which may
+// include the beginning of the body.
+type headLimiter struct {
+	conn      net.Conn
+	remaining int
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(buf []byte) (int, error) {
+	if l.remaining == noHeadLimit {
+		return l.conn.Read(buf)
+	}
+	if l.remaining == 0 {
+		return 0, &InvalidResponseError{Reason: "a header that is too long"}
+	}
+	n, err := l.conn.Read(buf[:min(len(buf), l.remaining)])
+	l.remaining -= n
+	return n, err
 }
 
 // stillIdle reports whether the endpoint has neither closed the connection nor sent
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -7,8 +7,9 @@
 	"io"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes bounds one event of a stream. All streams of an instance may hold an
+// event of that size at once.
+const maxEventBytes = 256 << 10
 
 // Event is one server-sent event. Raw holds the event as received, including the
 // blank line that ends it.
@@ -36,7 +37,7 @@
 // event, and read errors of the body.
 func (e *EventReader) Next() (Event, error) {
 	e.raw = e.raw[:0]
-	lineStart := 0
+	lineStart, hasContent := 0, false
 	for {
 		chunk, err := e.reader.ReadSlice('\n')
 		e.raw = append(e.raw, chunk...)
@@ -56,9 +57,10 @@
 		}
 		line := bytes.TrimRight(e.raw[lineStart:], "\r\n")
 		lineStart = len(e.raw)
-		if len(line) == 0 && len(bytes.TrimRight(e.raw, "\r\n")) > 0 {
+		if len(line) == 0 && hasContent {
 			return Event{Raw: e.raw, ID: e.lastID}, nil
 		}
+		hasContent = hasContent || len(line) > 0
 		if id, found := bytes.CutPrefix(line, []byte("id:")); found {
 			e.lastID = string(bytes.TrimSpace(id))
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -33,8 +33,9 @@
 	// before it has read the whole body.
 	maxInlineBodyBytes = 16 << 10
 	// maxStrayBytes bounds the body of a response to an earlier request, which is
-	// read and discarded.
+	// read and discarded, and maxStrays the number of such responses.
 	maxStrayBytes = 1 << 20
+	maxStrays     = 4
 	// readBufferBytes is enough for a few events of a stream.
 	readBufferBytes = 8 << 10
 )
@@ -173,7 +174,9 @@
 // readResponse reads responses until one belongs to the request.
 func (p *Pool) readResponse(c *conn, request *Request, writeResult <-chan error) (*Response, error) {
 	reusable := true
-	for {
+	c.head.remaining = maxHeadBytes
+	defer func() { c.head.remaining = noHeadLimit }()
+	for strays := 0; ; {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, p.readError(err, writeResult)
@@ -185,7 +188,10 @@
 		if metadata.ID != "" && metadata.ID != request.ID {
 			// A late response to an earlier request on this connection.
 			reusable = false
-			if err := discardBody(response); err != nil {
+			if strays++; strays > maxStrays {
+				return nil, &InvalidResponseError{Reason: "answers to other requests without end"}
+			}
+			if err := c.discardBody(response); err != nil {
 				return nil, err
 			}
 			continue
@@ -215,7 +221,8 @@
 		return io.ErrUnexpectedEOF
 	}
 	var netErr net.Error
-	if errors.As(err, &netErr) {
+	invalid := new(InvalidResponseError)
+	if errors.As(err, &netErr) || errors.As(err, &invalid) {
 		return err
 	}
 	return &InvalidResponseError{Reason: err.Error()}
@@ -225,11 +232,14 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-func discardBody(response *http.Response) error {
+func (c *conn) discardBody(response *http.Response) error {
 	if !hasFraming(response) {
 		return &InvalidResponseError{Reason: "an answer to another request without a length"}
 	}
+	headRemaining := c.head.remaining
+	c.head.remaining = noHeadLimit
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
+	c.head.remaining = headRemaining
 	if err == nil && n == maxStrayBytes {
 		err = &InvalidResponseError{Reason: "a long answer to another request"}
 	}
