Tell a caller that reads slowly from an endpoint that is silent

Cause: the time in which a gateway waits for its caller to read an event counted as silence of the endpoint. After 2 s another endpoint was granted and the sound attempt canceled. If the caller then closed its connection, the handler panicked past the place where the second grant is ended: the slot stayed taken for good.

--- a/internal/gateway/monitor.go
+++ b/internal/gateway/monitor.go
@@ -48,9 +48,12 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	// lastReceived is when the last event arrived or, before that, when the attempt
-	// began. responding is set by the first event of a stream. nextGrant is the
-	// grant for the endpoint to which the request moves.
+	// began. delivering is set while that event is written to the caller: a caller
+	// that reads slowly does not make its endpoint silent. responding is set by the
+	// first event of a stream. nextGrant is the grant for the endpoint to which the
+	// request moves.
 	lastReceived time.Time
+	delivering   bool
 	responding   bool
 	stopped      bool
 	nextGrant    *dispatch.Grant
@@ -94,21 +97,41 @@
 	return h.gateway.hasFreshConfig() && index.Workspace(h.headers.Credential) != nil
 }
 
-// noteProgress records that the endpoint has sent an event.
-func (m *attemptMonitor) noteProgress() {
+// beginDelivery records that the endpoint has sent an event, which is now written to
+// the caller.
+func (m *attemptMonitor) beginDelivery() {
 	if m.fallback == nil {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.lastReceived, m.responding = time.Now(), true
+	m.delivering, m.responding = true, true
+}
+
+// endDelivery records that the event was written and the next one is awaited.
+func (m *attemptMonitor) endDelivery() {
+	if m.fallback == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lastReceived, m.delivering = time.Now(), false
+}
+
+// silence returns how long the endpoint has been sending nothing. The caller must hold
+// m.mu.
+func (m *attemptMonitor) silence() time.Duration {
+	if m.delivering {
+		return 0
+	}
+	return time.Since(m.lastReceived)
 }
 
 // stalled reports whether a stream that has begun exceeded its silence limit.
 func (m *attemptMonitor) stalled() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return !m.stopped && m.responding && time.Since(m.lastReceived) >= m.silenceLimit()
+	return !m.stopped && m.responding && m.silence() >= m.silenceLimit()
 }
 
 // check cancels the attempt if the endpoint has sent nothing for too long, another
@@ -121,7 +144,7 @@
 	if m.stopped {
 		return
 	}
-	silence := time.Since(m.lastReceived)
+	silence := m.silence()
 	if remaining := m.silenceLimit() - silence; remaining > 0 {
 		m.timer.Reset(remaining)
 		return
@@ -160,3 +183,11 @@
 	m.nextGrant = nil
 	return nextGrant
 }
+
+// discard ends monitoring and releases the grant for another endpoint, unless stop has
+// returned it.
+func (m *attemptMonitor) discard() {
+	if grant := m.stop(); grant != nil {
+		grant.End(dispatch.Cancelled)
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -80,8 +80,8 @@
 // request that has already run in part.
 func (h *requestHandler) dispatchRequest(tried []usher.EndpointName, started bool) *dispatch.Request {
 	request := &dispatch.Request{
-		ID: h.headers.ID, Service: h.service, Rank: h.rank(), Started: started,
-		Prompt: h.headers.Cost.PromptTokens, Answer: h.headers.Cost.AnswerTokens, MaxAnswer: h.headers.Cost.AnswerTokens,
+		ID: h.headers.ID, Service: h.service, Route: h.route.Name, Rank: h.rank(), Started: started,
+		Prompt: h.headers.Cost.PromptTokens, Answer: h.headers.Cost.AnswerTokens,
 		Prefix: h.headers.Prefix, Arrived: h.arrived, Deadline: h.deadline, Tried: tried,
 	}
 	if h.headers.ExpectedAnswerTokens > 0 {
@@ -175,13 +175,13 @@
 		fallback = h.dispatchRequest(tried, true)
 	}
 	monitor := h.monitorAttempt(&grant.Endpoint, fallback, cancel)
+	// exchange panics if the caller is gone. The grant must not outlive the request then.
+	defer monitor.discard()
 	result := h.exchange(attemptCtx, grant, relay, monitor)
-	nextGrant := monitor.stop()
-	if result.outcome == delivered && nextGrant != nil {
-		nextGrant.End(dispatch.Cancelled)
-		nextGrant = nil
+	if result.outcome == delivered {
+		return result, nil
 	}
-	return result, nextGrant
+	return result, monitor.stop()
 }
 
 // exchange sends the request and handles the response.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -64,7 +64,6 @@
 // copyEvents relays events until the stream ends, and returns why it ended: io.EOF
 // for a complete stream.
 func (s *streamRelay) copyEvents(grant *dispatch.Grant, response *upstream.Response, events *upstream.EventReader, monitor *attemptMonitor) error {
-	h := s.handler
 	unreportedEvents := 0
 	for n := 0; ; n++ {
 		event, err := events.Next()
@@ -78,25 +77,33 @@
 			grant.Events(unreportedEvents)
 			unreportedEvents = 0
 		}
-		monitor.noteProgress()
 		s.writeHeader(response)
-		h.eventCount++
-		h.hashResponse(event.Raw)
-		if _, err := h.writer.Write(event.Raw); err != nil {
-			s.writeFailed = true
-			return err
-		}
-		s.lastID = event.ID
-		if events.Pending() {
-			continue
-		}
-		if err := s.controller.Flush(); err != nil {
+		monitor.beginDelivery()
+		err = s.writeEvent(event, events.Pending())
+		monitor.endDelivery()
+		if err != nil {
 			s.writeFailed = true
 			return err
 		}
 	}
 }
 
+// writeEvent writes an event to the caller. It is not flushed if more events are
+// already buffered.
+func (s *streamRelay) writeEvent(event upstream.Event, more bool) error {
+	h := s.handler
+	h.eventCount++
+	h.hashResponse(event.Raw)
+	if _, err := h.writer.Write(event.Raw); err != nil {
+		return err
+	}
+	s.lastID = event.ID
+	if more {
+		return nil
+	}
+	return s.controller.Flush()
+}
+
 // writeHeader writes the response header of the first endpoint. Later calls do
 // nothing.
 func (s *streamRelay) writeHeader(response *upstream.Response) {
--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -3,10 +3,13 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -193,6 +196,57 @@
 	}
 }
 
+// A caller that stops reading for a while gets its stream from one replica: a slow
+// caller does not make the replica silent. When it closes its connection while the
+// gateway writes to it, no slot of another replica stays taken.
+func TestCallerThatStopsReading(t *testing.T) {
+	c := newCluster(t)
+	one, two := newReplica(t, "m1", "model", 1, 400), newReplica(t, "m2", "model", 1, 400)
+	one.padding, two.padding = 60<<10, 60<<10
+	c.register(one, "ready")
+	c.register(two, "ready")
+	g := c.startGateway("g1")
+	// Each replica runs one request at a time.
+	bothServe := func() bool {
+		var wait sync.WaitGroup
+		served := make([]bool, 2)
+		for i := range served {
+			wait.Go(func() {
+				got := g.call(context.Background(), http.MethodPost, "/plan/a", fmt.Sprint("two", i, time.Now()), "X-Filbertusher-Deadline-Ms", "15000")
+				served[i] = got.status == http.StatusOK && got.err == nil
+			})
+		}
+		wait.Wait()
+		return served[0] && served[1]
+	}
+	c.eventually("both replicas serve", bothServe)
+	for _, closes := range []bool{false, true} {
+		id := fmt.Sprint("slow-", closes)
+		conn, err := net.Dial("tcp", g.callerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = fmt.Fprintf(conn, "POST /plan/a HTTP/1.1\r\nHost: site.example\r\nConnection: close\r\nContent-Length: 2\r\nX-Filbertusher-Attempt-Id: %s\r\nX-Filbertusher-Deadline-Ms: 14000\r\nX-Filbertusher-Credential: key\r\n\r\n{}", id)
+		// Longer than the time after which a silent replica is left.
+		time.Sleep(4 * time.Second)
+		if runs := one.executionsOf(id) + two.executionsOf(id); runs != 1 {
+			t.Errorf("the stream of a slow caller was executed %d times, want once", runs)
+		}
+		if !closes {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(response.Body)
+			if string(body) != one.completeStream(id) || err != nil {
+				t.Errorf("got %d bytes and %v, want the complete stream", len(body), err)
+			}
+		}
+		_ = conn.Close()
+	}
+	c.eventually("both slots are free", bothServe)
+}
+
 // The revocation of a credential while its stream is open and stalled doesn't
 // interrupt the stream.
 func TestRevocationDoesNotInterruptStream(t *testing.T) {
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,6 +39,8 @@
 	abortAfter      int
 	// stall is an additional delay after the second event of a stream.
 	stall time.Duration
+	// padding is the number of bytes that are added to each event of a stream.
+	padding int
 	// crashPath is the path of requests that crash the replica.
 	crashPath      string
 	executions     map[string]int
@@ -191,7 +195,7 @@
 			_ = http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, id, i)
+		_, _ = io.WriteString(w, r.event(id, i))
 		_ = http.NewResponseController(w).Flush()
 		delay := eventInterval
 		if i == 2 {
@@ -210,7 +214,12 @@
 func (r *replica) completeStream(id string) string {
 	text := ""
 	for i := 1; i <= r.eventsPerStream; i++ {
-		text += fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, id, i)
+		text += r.event(id, i)
 	}
 	return text
 }
+
+// event returns the event of a stream with the given number.
+func (r *replica) event(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s-%d%s\n\n", number, id, number, strings.Repeat("x", r.padding))
+}
