Serve all sizes of a route under overload, and refuse early behind short queues

Change: the size of a request follows the caller's length estimate, by route. Each arrival earns its size class (largest tenth, fifth below, rest) 0.7 of the route's grants an arrival; a class that is owed a grant goes before the rest of its rank and is not shed. A request waits only if a slot is likelier than not to come in time: by the rate of grants or of slots released, less what goes before it.

--- a/internal/dispatch/density.go
+++ b/internal/dispatch/density.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"filbertusher/pkg/usher"
 )
@@ -21,26 +22,36 @@
 	meanSizeWeight = 0.02
 )
 
-// density returns the value of a request per second of slot time. The result has
-// no unit and only orders the requests of one rank.
-func (svc *service) density(request *Request) float64 {
-	if request.Started {
-		return math.Inf(1)
+// prioritize sets the value density of a new request and its size class.
+func (svc *service) prioritize(w *waiter, now time.Time) {
+	request := w.request
+	switch {
+	case request.Started:
+		w.density = math.Inf(1)
+	case !svc.spec.Engine:
+		w.density = 1
+	default:
+		w.stats = svc.statsOf(request.Route, now)
+		size := sizeOf(request)
+		w.class = w.stats.arrive(size)
+		w.density = w.stats.value(size) / svc.serviceSeconds(request.Prompt, request.Answer)
 	}
-	if !svc.spec.Engine {
+}
+
+// sizeOf returns the expected size of a request in weighted tokens. The length of
+// the answer is the caller's estimate: the longest answer that it accepts is the same
+// for all requests of a route.
+func sizeOf(request *Request) float64 {
+	return float64(request.Prompt) + answerTokenWeight*float64(request.Answer)
+}
+
+// value returns the value of a request of the given size, relative to that of a
+// request of mean size.
+func (r *routeStats) value(size float64) float64 {
+	if r.meanSize == 0 {
 		return 1
 	}
-	size := float64(request.Prompt) + answerTokenWeight*float64(request.MaxAnswer)
-	mean := &svc.meanSizes[clampRank(request.Rank)]
-	if *mean == 0 {
-		*mean = size
-	}
-	*mean += (size - *mean) * meanSizeWeight
-	value := 1.0
-	if *mean > 0 {
-		value = baseValue + (1-baseValue)*min(maxSizeRatio, size / *mean)
-	}
-	return value / svc.serviceSeconds(request.Prompt, request.Answer)
+	return baseValue + (1-baseValue)*min(maxSizeRatio, size/r.meanSize)
 }
 
 // serviceSeconds returns how long a request is expected to occupy a slot of an
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,14 +29,15 @@
 type Request struct {
 	ID      usher.RequestID
 	Service usher.ServiceName
-	Rank    usher.Rank
+	// Route is the route that the request was received on. Requests of one route are
+	// of the same kind.
+	Route usher.RouteName
+	Rank  usher.Rank
 	// Prompt and Answer are the expected lengths in tokens. Both are zero for
-	// requests to plain services. MaxAnswer is the longest answer that the caller
-	// accepts, in tokens.
-	Prompt    usher.Tokens
-	Answer    usher.Tokens
-	MaxAnswer usher.Tokens
-	Prefix    []usher.PromptPart
+	// requests to plain services.
+	Prompt usher.Tokens
+	Answer usher.Tokens
+	Prefix []usher.PromptPart
 	// Arrived is when the caller's request was accepted, Target is when the first
 	// event of the answer is due, and Deadline is when the answer becomes useless to
 	// the caller.
@@ -97,13 +98,16 @@
 	// meanDurations are the mean times from grant to end of answered requests by
 	// rank. Zero means that none has ended yet.
 	meanDurations [ranks]time.Duration
+	// running is the number of this instance's requests at all endpoints, and slotTime
+	// the mean time from grant to end of all that were answered.
+	running  int
+	slotTime time.Duration
 	// shares are the fractions of all slots that belong to each member, in the
 	// order of Scheduler.members.
-	shares []float64
-	// meanSizes are the mean request sizes by rank, in weighted tokens.
-	meanSizes [ranks]float64
-	prefixes  *prefixTable
-	counts    counts
+	shares   []float64
+	routes   map[usher.RouteName]*routeStats
+	prefixes *prefixTable
+	counts   counts
 }
 
 // counts are the counters of one service in the diagnostic dump: the requests that
@@ -193,7 +197,7 @@
 	} else {
 		w.waitDeadline = s.waitDeadline(svc, w.request, now)
 	}
-	w.density = svc.density(w.request)
+	svc.prioritize(w, now)
 	if svc.queue.len() == 0 {
 		// Serve a late request rather than leave a slot idle that no other request
 		// is waiting for.
@@ -220,7 +224,10 @@
 func (s *Scheduler) service(name usher.ServiceName) *service {
 	svc := s.services[name]
 	if svc == nil {
-		svc = &service{name: name, endpoints: make(map[usher.EndpointName]*endpoint), prefixes: newPrefixTable()}
+		svc = &service{
+			name: name, endpoints: make(map[usher.EndpointName]*endpoint),
+			routes: make(map[usher.RouteName]*routeStats), prefixes: newPrefixTable(),
+		}
 		s.services[name] = svc
 	}
 	return svc
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -279,6 +279,7 @@
 		scheduler: s, service: svc, endpoint: e, rank: clampRank(request.Rank), prompt: tokens, sent: now,
 	}
 	g.expected = g.ExpectedFirstEvent
+	svc.running++
 	e.own.Running++
 	e.own.Prefill += tokens
 	e.awaitingFirstEvent[g] = struct{}{}
@@ -396,6 +397,7 @@
 	if !g.firstEventSeen {
 		g.endPrefill()
 	}
+	g.service.running--
 	e.own.Running--
 	if how == Answered {
 		g.service.recordDuration(g.rank, now.Sub(g.sent))
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -24,9 +24,12 @@
 	startedWait = 1200 * time.Millisecond
 	// maxWaiting bounds the number of requests that wait for one service.
 	maxWaiting = 2000
-	// minAheadForEstimate is how many requests must be ahead of a request for the
-	// estimate of its wait to count as reliable.
-	minAheadForEstimate = 6
+	// medianArrival is the median time to the next grant, in mean times between two
+	// grants: the median of an exponential distribution.
+	medianArrival = math.Ln2
+	// densitySamples is the number of recent requests of a rank from which the share
+	// of those that will overtake a request is estimated.
+	densitySamples = 32
 	// ranks is the number of distinct ranks. Higher ranks are treated as the last.
 	ranks = 16
 	// oldestEvery is the interval, in grants of a rank, at which the oldest request of
@@ -43,7 +46,11 @@
 	request  *Request
 	enqueued time.Time
 	// density is the request's value per second of slot time.
-	density      float64
+	density float64
+	// stats are the statistics of the request's route and class its size class there.
+	// stats is nil for started requests and for those to plain services.
+	stats        *routeStats
+	class        sizeClass
 	waitDeadline time.Time
 	decided      chan decision
 }
@@ -65,9 +72,9 @@
 // waitQueue holds the requests that wait for one service. Within a rank, requests
 // are ordered by descending value density, which serves more callers: answer
 // lengths differ by a factor of a hundred, and a few long answers occupy the slots
-// of many short ones. Every few grants the oldest request of the rank goes first,
-// so that long requests are served too. count is the number of queued requests of
-// all ranks.
+// of many short ones. Requests whose size class is owed a grant go before them, so
+// that long answers are served too, and every few grants the oldest request of the
+// rank goes first. count is the number of queued requests of all ranks.
 type waitQueue struct {
 	byRank [ranks][]*waiter
 	// grants counts the grants of each rank, to find when the oldest request is due.
@@ -75,7 +82,36 @@
 	// credit is the credit of each rank, in grants. A rank with a credit of at least
 	// one is served before more urgent ranks.
 	credit [ranks]float64
-	count  int
+	// densities are the densities of the last requests of each rank.
+	densities [ranks]densityWindow
+	count     int
+}
+
+// densityWindow holds the last densitySamples densities, written in rotation at next.
+type densityWindow struct {
+	values []float64
+	next   int
+}
+
+func (d *densityWindow) add(density float64) {
+	if len(d.values) < densitySamples {
+		d.values = append(d.values, density)
+		return
+	}
+	d.values[d.next] = density
+	d.next = (d.next + 1) % densitySamples
+}
+
+// fractionAbove returns the fraction of the densities that are higher than the given
+// one.
+func (d *densityWindow) fractionAbove(density float64) float64 {
+	above := 0
+	for _, value := range d.values {
+		if value > density {
+			above++
+		}
+	}
+	return float64(above) / float64(max(1, len(d.values)))
 }
 
 // rankOf returns the rank that a request is queued under. Started requests get the
@@ -101,6 +137,7 @@
 		return 1
 	})
 	q.byRank[rank] = slices.Insert(q.byRank[rank], at, w)
+	q.densities[rank].add(w.density)
 	q.count++
 }
 
@@ -120,7 +157,20 @@
 	for r := range rank {
 		n += len(q.byRank[r])
 	}
-	return n + max(0, slices.Index(q.byRank[rank], w))
+	owed, behind := w.isOwed(), false
+	for _, other := range q.byRank[rank] {
+		switch {
+		case other == w:
+			behind = true
+		case other.isOwed() != owed:
+			if !owed {
+				n++
+			}
+		case !behind:
+			n++
+		}
+	}
+	return n
 }
 
 // inOrder yields the queued requests in the order in which they are to be served.
@@ -146,18 +196,27 @@
 			return false
 		}
 	}
-	for _, w := range q.byRank[rank] {
-		if !yield(w) {
-			return false
+	for _, owed := range []bool{true, false} {
+		for _, w := range q.byRank[rank] {
+			if w.isOwed() == owed && !yield(w) {
+				return false
+			}
 		}
 	}
 	return true
 }
 
-// last returns the request with the lowest density of the rank, or nil.
+// last returns the request of the rank that is served last, or nil: the one with the
+// lowest density, if possible of a size class that is not owed a grant.
 func (q *waitQueue) last(rank int) *waiter {
-	if n := len(q.byRank[rank]); n > 0 {
-		return q.byRank[rank][n-1]
+	waiters := q.byRank[rank]
+	for _, w := range slices.Backward(waiters) {
+		if !w.isOwed() {
+			return w
+		}
+	}
+	if n := len(waiters); n > 0 {
+		return waiters[n-1]
 	}
 	return nil
 }
@@ -178,6 +237,9 @@
 func (q *waitQueue) noteGrant(w *waiter) {
 	served := rankOf(w)
 	q.grants[served]++
+	if w.stats != nil {
+		w.stats.noteGrant(w.class)
+	}
 	if q.credit[served] >= 1 {
 		q.credit[served]--
 	}
@@ -236,10 +298,19 @@
 	return time.Duration(float64(shortest) * firstEventMargin)
 }
 
-// shedLoad refuses the requests of a rank that are not expected to be served
-// before their wait deadline. Refusing them immediately saves their callers the
-// wait.
+// shedLoad refuses the requests of a rank and of less urgent ones that are not
+// expected to be served before their wait deadline. Refusing them immediately saves
+// their callers the wait.
 func (s *Scheduler) shedLoad(svc *service, rank int, now time.Time) {
+	if len(svc.endpoints) == 0 {
+		return
+	}
+	for r := ranks - 1; r >= rank; r-- {
+		s.shedRank(svc, r, now)
+	}
+}
+
+func (s *Scheduler) shedRank(svc *service, rank int, now time.Time) {
 	for {
 		w := svc.queue.last(rank)
 		if w == nil || w.request.Started {
@@ -247,13 +318,12 @@
 		}
 		message := "too many requests wait"
 		if svc.queue.len() <= maxWaiting {
-			ahead := svc.queue.ahead(w)
-			perSecond := svc.availableRate(rank, now)
-			if ahead < minAheadForEstimate || perSecond <= 0 {
+			perSecond := svc.availableRate(w, now)
+			if perSecond <= 0 {
 				return
 			}
-			wait := time.Duration(float64(ahead) / perSecond * float64(time.Second))
-			if !now.Add(wait).After(w.waitDeadline) {
+			wait := (float64(svc.queue.ahead(w)) + medianArrival) / perSecond
+			if w.waitDeadline.Sub(now).Seconds() > wait {
 				return
 			}
 			message = "the wait would be too long"
@@ -264,15 +334,25 @@
 	}
 }
 
-// availableRate returns the grants per second that more urgent ranks leave for a
-// rank, or 0 until grants have been measured. It is never below half of the rate
-// that credit gives to overtaken ranks.
-func (svc *service) availableRate(rank int, now time.Time) float64 {
-	total := svc.grantRate.perSecond(now)
+// availableRate returns the grants per second that remain for a queued request, or 0
+// until a request has been answered: those of the service less the arrivals that go before it,
+// which are of more urgent ranks or, within its rank, of higher density. It is never
+// below half of the rate that credit gives to overtaken ranks.
+func (svc *service) availableRate(w *waiter, now time.Time) float64 {
+	if svc.slotTime == 0 {
+		return 0
+	}
+	// Until all slots are taken, grants are as frequent as arrivals. The rate at which
+	// slots are released shows more.
+	total := max(svc.grantRate.perSecond(now), float64(svc.running)/svc.slotTime.Seconds())
+	rank := rankOf(w)
 	taken := 0.0
 	for r := range rank {
 		taken += svc.arrivalRates[r].perSecond(now)
 	}
+	if !w.isOwed() {
+		taken += svc.arrivalRates[rank].perSecond(now) * svc.queue.densities[rank].fractionAbove(w.density)
+	}
 	return max(total*creditPerGrant/2, total-taken)
 }
 
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -169,8 +169,13 @@
 	return sum
 }
 
-// recordDuration adds the duration of an answered request to the mean of its rank.
+// recordDuration adds the duration of an answered request to the mean of its rank and
+// to that of all ranks.
 func (svc *service) recordDuration(rank int, took time.Duration) {
+	if svc.slotTime == 0 {
+		svc.slotTime = took
+	}
+	svc.slotTime += time.Duration(float64(took-svc.slotTime) * ewmaWeight / 4)
 	svc.meanDurations[rank] = svc.meanDuration(rank) + time.Duration(float64(took-svc.meanDuration(rank))*ewmaWeight/4)
 }
 
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 
 // requestClass describes the requests of one kind. perSecond is the arrival rate at a
 // load of 1. prompt and answer are the mean lengths in tokens, and maxAnswer is the
-// longest answer that the caller accepts. target and deadline are relative to the
+// longest answer that the caller accepts, also in tokens. target and deadline are relative to the
 // arrival.
 type requestClass struct {
 	name      string
@@ -39,6 +40,8 @@
 	engines    []*simEngine
 	events     eventHeap
 	requests   []*simRequest
+	// undecided are the requests that were neither granted nor refused yet.
+	undecided []*simRequest
 }
 
 // simEngine is a simulated engine. queuedTotal counts the requests that arrived while
@@ -52,8 +55,8 @@
 	queuedTotal int
 }
 
-// simRequest is a request and what happened to it so far. size is weighted as in
-// service.density.
+// simRequest is a request and what happened to it so far. size is the largest size
+// that the caller accepts, weighted as in sizeOf.
 type simRequest struct {
 	class      *requestClass
 	waiter     *waiter
@@ -92,12 +95,17 @@
 	heap.Push(&s.events, simEvent{s.now.Add(d), action})
 }
 
+// newSimulation returns a simulation of instances that share engines of 15 slots.
 func newSimulation(seed uint64, instances int, slowdowns ...float64) *simulation {
+	return newSimulationWithSlots(seed, instances, 15, slowdowns...)
+}
+
+func newSimulationWithSlots(seed uint64, instances, slots int, slowdowns ...float64) *simulation {
 	s := &simulation{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 1))}
 	var members []string
 	var registrations []usher.Registration
 	for i, slowdown := range slowdowns {
-		e := &simEngine{slowdown: slowdown, Registration: usher.Registration{Name: usher.EndpointName(fmt.Sprint("e", i)), Service: "s", Slots: 15}}
+		e := &simEngine{slowdown: slowdown, Registration: usher.Registration{Name: usher.EndpointName(fmt.Sprint("e", i)), Service: "s", Slots: slots}}
 		s.engines = append(s.engines, e)
 		registrations = append(registrations, e.Registration)
 	}
@@ -107,7 +115,7 @@
 	for _, member := range members {
 		scheduler := New(Options{Self: member, Now: func() time.Time { return s.now }})
 		scheduler.SetMembers(members)
-		scheduler.SetEndpoints("s", ServiceSpec{Engine: true, Slots: 15, TokensPerEvent: 6}, registrations)
+		scheduler.SetEndpoints("s", ServiceSpec{Engine: true, Slots: slots, TokensPerEvent: 6}, registrations)
 		s.schedulers = append(s.schedulers, scheduler)
 	}
 	return s
@@ -186,29 +194,28 @@
 	prompt := usher.Tokens(max(1, float64(class.prompt)*math.Exp(s.random.NormFloat64()-0.5)))
 	hint := usher.Tokens(max(1, float64(answer)*math.Exp(s.random.NormFloat64()*0.5)))
 	request := &Request{
-		ID: usher.RequestID(fmt.Sprint(len(s.requests))), Service: "s", Rank: class.rank, Prompt: prompt, Answer: hint, MaxAnswer: class.maxAnswer,
+		ID: usher.RequestID(fmt.Sprint(len(s.requests))), Service: "s", Route: usher.RouteName(class.name), Rank: class.rank, Prompt: prompt, Answer: hint,
 		Arrived: s.now, Target: s.now.Add(class.target), Deadline: s.now.Add(class.deadline),
 	}
 	r := &simRequest{class: class, answer: answer, size: int(prompt + 10*class.maxAnswer), scheduler: scheduler, arrived: s.now, waiter: &waiter{request: request, decided: make(chan decision, 1)}}
-	s.requests = append(s.requests, r)
+	s.requests, s.undecided = append(s.requests, r), append(s.undecided, r)
 	scheduler.enqueue(r.waiter, s.now)
 }
 
 // applyDecisions sends the requests that were granted and records the refusals.
 func (s *simulation) applyDecisions() {
-	for _, r := range s.requests {
-		if r.grant != nil || r.refusal != nil {
-			continue
-		}
+	s.undecided = slices.DeleteFunc(s.undecided, func(r *simRequest) bool {
 		select {
 		case d := <-r.waiter.decided:
 			r.decided, r.refusal, r.grant = s.now, d.refusal, d.grant
 			if d.grant != nil {
 				s.send(r)
 			}
+			return true
 		default:
+			return false
 		}
-	}
+	})
 }
 
 func (s *simulation) send(r *simRequest) {
