--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -60,8 +60,8 @@
 // this instance there, and others the sum of the loads that the other instances
 // reported. awaitingFirstEvent are the grants without a first event.
 //
-// failureRate is the moving average of failures, from 0 to 1. lastMeasured is when it
-// or ratio was last updated.
+// failureRate is the moving average of failures, from 0 to 1, and lastFailure when it
+// was last raised.
 //
 // The endpoint gets no requests before suspendedUntil. backoff is the length of the
 // last suspension for being unreachable, or 0 once a first event has arrived since.
@@ -83,10 +83,12 @@
 	// ratio is the time to first event relative to the model's prediction, and
 	// eventInterval the time between events. Both follow this instance's own
 	// measurements, or those of other instances if it has no recent ones.
+	// lastMeasured is when ratio was last updated.
 	ratio         float64
 	eventInterval time.Duration
 	lastMeasured  time.Time
 	failureRate   float64
+	lastFailure   time.Time
 	// ratioMeasured and intervalMeasured are when this instance itself last measured
 	// them.
 	ratioMeasured, intervalMeasured time.Time
@@ -164,21 +166,21 @@
 
 func (e *endpoint) currentRatio(now time.Time) float64 {
 	// Decays towards 1, at which the model's prediction holds.
-	return 1 + (e.ratio-1)*e.measurementWeight(now)
+	return 1 + (e.ratio-1)*measurementWeight(e.lastMeasured, now)
 }
 
 func (e *endpoint) currentFailureRate(now time.Time) float64 {
 	// Decays towards 0.
-	return e.failureRate * e.measurementWeight(now)
+	return e.failureRate * measurementWeight(e.lastFailure, now)
 }
 
-// measurementWeight returns the weight, from 0 to 1, that the last measurements
-// still have. It starts to decay half a second after them.
-func (e *endpoint) measurementWeight(now time.Time) float64 {
-	if e.lastMeasured.IsZero() {
+// measurementWeight returns the weight, from 0 to 1, that a measurement of the given
+// time still has. It starts to decay half a second after it.
+func measurementWeight(measured, now time.Time) float64 {
+	if measured.IsZero() {
 		return 1
 	}
-	return math.Exp(-max(0, now.Sub(e.lastMeasured).Seconds()-0.5) / estimateDecay.Seconds())
+	return math.Exp(-max(0, now.Sub(measured).Seconds()-0.5) / estimateDecay.Seconds())
 }
 
 // bestEndpoint returns the endpoint with a free slot that is expected to finish the
@@ -405,7 +407,7 @@
 	switch how {
 	case Failed:
 		e.failureRate = e.currentFailureRate(now) + (1-e.currentFailureRate(now))*ewmaWeight
-		e.lastMeasured = now
+		e.lastFailure = now
 	case Full:
 		e.suspendedUntil = now.Add(fullBackoff)
 	case Unreachable:
