Charge a use once when reports of an instance arrive out of order

Cause: replies and calls of two gateways cross, so reports arrive out of order. Callers below their quota were refused for it.

Change: a report that is older by its process's age, or of the process before, is dropped.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -133,9 +133,11 @@
 	peers     map[string]*peer
 }
 
-// peer is the state of another instance as known here.
+// peer is the state of another instance as known here. former is the incarnation of
+// its process before the one of report.
 type peer struct {
 	report  Report
+	former  usher.Incarnation
 	heardAt time.Time
 	// addedAt is when the instance became known. Its silence is counted from then
 	// until the first report sets heardAt.
@@ -181,6 +183,16 @@
 	rounds     int
 }
 
+// supersedes reports whether a report is older than the last one. Reports arrive out of
+// order, because replies and calls of two instances cross. Applied late, one would make
+// the use since then count twice.
+func (p *peer) supersedes(report *Report) bool {
+	if report.Incarnation == p.report.Incarnation {
+		return report.Age < p.report.Age
+	}
+	return p.former != "" && report.Incarnation == p.former
+}
+
 // New returns a quota with nothing used. firstProcess says that no other process
 // served before this one.
 func New(tolerance Tolerance, self usher.Incarnation, firstProcess bool, now func() time.Time) *Quota {
@@ -219,10 +231,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p := q.peer(instance)
+	if p.supersedes(&report) {
+		return
+	}
 	previous := p.report.Used
 	silence := p.silence(q.now())
 	if p.report.Incarnation != report.Incarnation {
-		previous = nil
+		previous, p.former = nil, p.report.Incarnation
 		// The report does not include the use of an earlier process of the instance.
 		if unheard := silence - report.Age; unheard > silenceTimeout {
 			q.chargeUnreported(unheard)
@@ -231,11 +246,8 @@
 		q.restoreShare(silence)
 	}
 	for workspace, used := range report.Used {
-		// Reports may arrive out of order.
 		if more := used - previous[workspace]; more > 0 {
 			q.bucket(workspace).charge(more)
-		} else if more < 0 {
-			report.Used[workspace] = previous[workspace]
 		}
 	}
 	p.report, p.heardAt = report, q.now()
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -330,3 +330,41 @@
 		t.Errorf("use in the last window is %.0f, want at least 0.9 of the quota of %.0f; peak use in a window is %.0f", last, quota, c.peakWindowUse())
 	}
 }
+
+// A report that arrives after a later one changes nothing, also if it does not name the
+// workspace yet or is from an earlier process of the instance.
+func TestReportsOutOfOrder(t *testing.T) {
+	c := newCluster(2, true)
+	receiver := c.instances[0]
+	receiver.Check(&c.workspace, 1)
+	level := func() float64 {
+		receiver.mu.Lock()
+		defer receiver.mu.Unlock()
+		return receiver.buckets[c.workspace.Name].level
+	}
+	report := func() Report {
+		c.now = c.now.Add(10 * time.Millisecond)
+		return c.instances[1].Report(false)
+	}
+	unused := report()
+	if !c.request(1, 30000) {
+		t.Fatal("a request of a fraction of the burst is refused")
+	}
+	used := report()
+	full := level()
+	receiver.Merge("g1", used)
+	receiver.Merge("g1", unused)
+	receiver.Merge("g1", report())
+	if charged := full - level(); charged != 30000 {
+		t.Errorf("%.0f tokens charged for 30,000 that were used, after reports out of order", charged)
+	}
+	last := report()
+	c.start(1, false)
+	receiver.Merge("g1", report())
+	full = level()
+	receiver.Merge("g1", last)
+	receiver.Merge("g1", report())
+	if charged := full - level(); charged != 0 {
+		t.Errorf("%.0f tokens charged for a late report of the process before", charged)
+	}
+}
