Let a gateway that starts in an outage learn of all others from its seeds

Cause: seeds told how many gateways there are, not which. A gateway started while the store was away exchanged reports with its seeds only, and the scheduler counted it alone: all slots of all endpoints were guaranteed to it, beside the shares of the others, so that engines were filled beyond their slots.

Change: seeds list the instances that they know; the new gateway exchanges reports with all of them and takes its share. A seed of an earlier version has no such method, which is logged, and is itself known as before.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -191,16 +191,25 @@
 // setInstances passes the live gateway instances to the components that share limits
 // or endpoints among them.
 func (p *gatewayProcess) setInstances(ctx context.Context, instances []usher.GatewayInstance) {
-	names := make([]string, 0, len(instances))
-	for _, instance := range instances {
-		names = append(names, instance.Name)
-	}
+	names := p.memberNames(instances)
 	p.scheduler.SetMembers(names)
 	p.budget.SetInstanceCount(len(names))
 	p.quota.SetInstanceCount(len(names))
 	p.peering.SetInstances(ctx, instances)
 }
 
+// memberNames returns the names of the instances, including this one.
+func (p *gatewayProcess) memberNames(instances []usher.GatewayInstance) []string {
+	self := p.settings.Load().Name
+	names := []string{self}
+	for _, instance := range instances {
+		if instance.Name != self {
+			names = append(names, instance.Name)
+		}
+	}
+	return names
+}
+
 // updateScheduler passes the endpoints of each configured service to the scheduler.
 func (p *gatewayProcess) updateScheduler() {
 	index := p.routes.Index()
@@ -332,10 +341,12 @@
 		p.log.Info().Int("instances", len(instances)).Int("members", members).Uint64("version", uint64(p.routes.Version())).Msg("seedsAnswered")
 		if !p.watcher.KnowsInstances() && members > 1 {
 			// Peers pass on the proof that the configuration is the newest, without
-			// which no request is served while the store is unavailable.
+			// which no request is served while the store is unavailable. Without their
+			// names, this instance would take all slots of the endpoints for its own.
+			p.scheduler.SetMembers(p.memberNames(instances))
 			p.peering.SetInstances(ctx, instances)
-			p.quota.SetInstanceCount(members)
-			p.budget.SetInstanceCount(members)
+			p.quota.SetInstanceCount(max(members, len(instances)+1))
+			p.budget.SetInstanceCount(max(members, len(instances)+1))
 		}
 	}
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -283,9 +283,18 @@
 // have newer. A process that starts while the store is unavailable thereby gets
 // a configuration and finds peers.
 //
-// It returns the instances that replied and the largest number of instances that
-// one of them knows.
+// It returns the instances that replied and those that these know, and the largest
+// number of instances that one of them knows.
 func (p *Peering) ContactSeeds(ctx context.Context) (found []usher.GatewayInstance, members int) {
+	known := map[string]bool{p.self.Name: true}
+	add := func(instances ...usher.GatewayInstance) {
+		for _, instance := range instances {
+			if !known[instance.Name] {
+				known[instance.Name] = true
+				found = append(found, instance)
+			}
+		}
+	}
 	for _, address := range p.seeds {
 		if address == p.self.Address || ctx.Err() != nil {
 			continue
@@ -297,7 +306,8 @@
 		cancel()
 		if err == nil && reply.Name != "" {
 			instance := usher.GatewayInstance{Name: reply.Name, Incarnation: reply.Incarnation, Address: address}
-			found = append(found, instance)
+			add(instance)
+			add(p.fetchInstances(ctx, client, reply.Name)...)
 			members = max(members, reply.Members)
 			p.fetchNewer(ctx, &peer{instance: instance, client: client}, &reply)
 		}
@@ -306,6 +316,29 @@
 	return found, members
 }
 
+// fetchInstances returns the instances that a peer knows. A peer of an earlier version
+// can't tell them.
+func (p *Peering) fetchInstances(ctx context.Context, client *peerrpc.Client, name string) []usher.GatewayInstance {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var list InstanceList
+	if err := client.Call(ctx, serviceName+".Instances", &Empty{}, &list); err != nil {
+		p.deps.Log.Warn().Err(err).Str("peer", name).Msg("instancesNotFetched")
+	}
+	return list.Instances
+}
+
+// instances returns the known instances, including this one.
+func (p *Peering) instances() []usher.GatewayInstance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := []usher.GatewayInstance{p.self}
+	for _, remote := range p.peers {
+		all = append(all, remote.instance)
+	}
+	return all
+}
+
 // State returns the peers' section of the diagnostic dump.
 func (p *Peering) State() any {
 	p.mu.Lock()
--- a/internal/peering/rpc.go
+++ b/internal/peering/rpc.go
@@ -15,6 +15,11 @@
 	Endpoints []usher.EndpointChange
 }
 
+// InstanceList holds the gateway instances that an instance knows, including itself.
+type InstanceList struct {
+	Instances []usher.GatewayInstance
+}
+
 // rpcService holds the methods that peers may call.
 type rpcService struct{ peering *Peering }
 
@@ -43,3 +48,9 @@
 	reply.Endpoints, reply.Revision = s.peering.deps.Roster.List()
 	return nil
 }
+
+// Instances returns the instances that this instance knows.
+func (s *rpcService) Instances(_ *Empty, reply *InstanceList) error {
+	reply.Instances = s.peering.instances()
+	return nil
+}
