--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -71,6 +71,9 @@
 	// divided by recordMemoryDivisor.
 	recordWriteFraction = 0.1
 	recordMemoryDivisor = 10
+	// bodyMemoryDivisor gives the part of the process's memory limit that the bodies of
+	// buffered responses may use.
+	bodyMemoryDivisor = 8
 	// defaultMetricsPort is the default port of the admin server.
 	defaultMetricsPort = 9101
 )
@@ -178,7 +181,9 @@
 	p.recorder = record.NewRecorder(record.RecorderOptions{
 		BatchInterval: recordBatchInterval, WritesPerSecond: s.StoreWritesPerSecond * recordWriteFraction, MaxBacklogBytes: s.MemoryLimitBytes / recordMemoryDivisor,
 	}, client, self.Incarnation, p.log)
-	p.gateway = gateway.New(gateway.Options{MaxRevocationDelay: s.Bounds.MaxRevocationDelay}, gateway.Dependencies{
+	p.gateway = gateway.New(gateway.Options{
+		MaxRevocationDelay: s.Bounds.MaxRevocationDelay, BodyMemory: s.MemoryLimitBytes / bodyMemoryDivisor,
+	}, gateway.Dependencies{
 		Codec: platform.HeaderCodec{}, Routes: p.routes, Scheduler: p.scheduler, Pool: p.pool,
 		Quota: p.quota, Budget: p.budget, Suspects: p.suspects, Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
 	})
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -42,6 +42,8 @@
 	// record.
 	responseHash  hash.Hash
 	responseBytes int64
+	// reservedBytes is the part of Gateway.bodyMemory that is reserved for this request.
+	reservedBytes int64
 	refusalKind   usher.RefusalKind
 
 	// The remaining fields are logged when the request ends. endpointRunning is the
@@ -66,6 +68,7 @@
 	// finish is deferred so that it also runs when the handler panics with
 	// http.ErrAbortHandler.
 	defer h.finish()
+	defer func() { g.bodyMemory.Release(h.reservedBytes) }()
 	if refusal := h.accept(); refusal != nil {
 		h.refuse(refusal)
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"filbertusher/internal/dispatch"
 	"filbertusher/internal/drain"
@@ -44,8 +45,11 @@
 	Log       zerolog.Logger
 }
 
-// Options are the settings of a gateway.
+// Options are the settings of a gateway. BodyMemory, in bytes, bounds the bodies of
+// responses that are buffered at once; it is fixed when the gateway is created, and 0
+// stands for defaultBodyMemory.
 type Options struct {
+	BodyMemory int64
 	// MaxRevocationDelay is the longest time that a revoked credential may still be
 	// accepted; zero means no limit.
 	MaxRevocationDelay time.Duration
@@ -68,6 +72,8 @@
 	// defaultMaxBodyBytes bounds request bodies where the configuration sets no
 	// limit.
 	defaultMaxBodyBytes = 8 << 20
+	// defaultBodyMemory bounds the buffered response bodies where no limit is given.
+	defaultBodyMemory = 64 << 20
 	// maxHeaderBytes bounds the request header.
 	maxHeaderBytes = 64 << 10
 	// idleSweepInterval is the interval between scans for idle connections.
@@ -80,6 +86,7 @@
 	options    atomic.Pointer[Options]
 	http       *http.Server
 	server     *drain.Server
+	bodyMemory *semaphore.Weighted
 	metrics    *metrics
 	logLimiter *logLimiter
 }
@@ -88,6 +95,10 @@
 func New(options Options, dependencies Dependencies) *Gateway {
 	g := &Gateway{Dependencies: dependencies, metrics: newMetrics(), logLimiter: newLogLimiter()}
 	g.options.Store(&options)
+	if options.BodyMemory <= 0 {
+		options.BodyMemory = defaultBodyMemory
+	}
+	g.bodyMemory = semaphore.NewWeighted(options.BodyMemory)
 	g.http = &http.Server{Handler: g, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes}
 	g.server = drain.New(g.http, nil)
 	return g
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -13,8 +13,15 @@
 	"filbertusher/pkg/usher"
 )
 
-// maxBufferedBytes bounds the body of a response that is not streamed.
-const maxBufferedBytes = 32 << 20
+const (
+	// maxBufferedBytes bounds the body of a response that is not streamed.
+	maxBufferedBytes = 32 << 20
+	// unreservedBytes is the part of each body that is buffered without a reservation
+	// of memory. It is more than most responses need.
+	unreservedBytes = 64 << 10
+	// firstReadBytes is the size of the first buffer for a body.
+	firstReadBytes = 4 << 10
+)
 
 // bufferedResponse is a response whose body was read completely.
 type bufferedResponse struct {
@@ -27,10 +34,8 @@
 // is returned instead, because another endpoint may succeed.
 func (h *requestHandler) bufferResponse(ctx context.Context, grant *dispatch.Grant, response *upstream.Response) attemptResult {
 	grant.FirstEvent()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = &upstream.InvalidResponseError{Reason: "an answer that is too long"}
-	}
+	body, reserved, err := h.gateway.readBody(response.Body)
+	h.reservedBytes += reserved
 	response.Close(err == nil)
 	if err != nil {
 		grant.End(cancelledOr(ctx, dispatch.Failed))
@@ -50,6 +55,37 @@
 	return attemptResult{outcome: delivered}
 }
 
+// readBody reads a body to its end. What exceeds unreservedBytes is reserved, in
+// doubling steps, from the memory that all bodies share, so that endpoints which send
+// without end can't use up the memory of the process. The caller must release reserved
+// bytes, also after an error.
+func (g *Gateway) readBody(body io.Reader) (read []byte, reserved int64, err error) {
+	read = make([]byte, 0, firstReadBytes)
+	for {
+		if len(read) == cap(read) {
+			grown := 2 * cap(read)
+			if grown > maxBufferedBytes {
+				return nil, reserved, &upstream.InvalidResponseError{Reason: "an answer that is too long"}
+			}
+			if grown > unreservedBytes {
+				if !g.bodyMemory.TryAcquire(int64(grown) - reserved) {
+					return nil, reserved, &upstream.InvalidResponseError{Reason: "an answer that is longer than the memory left"}
+				}
+				reserved = int64(grown)
+			}
+			read = append(make([]byte, 0, grown), read...)
+		}
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if errors.Is(err, io.EOF) {
+			return read, reserved, nil
+		}
+		if err != nil {
+			return nil, reserved, err
+		}
+	}
+}
+
 // cancelledOr returns dispatch.Cancelled if ctx ended, so that the endpoint is not
 // blamed, and end otherwise. An attempt that was moved because its endpoint was
 // silent is not a cancellation.
