Keep a late copy of an answer from the next caller, at companions too

(Gateways check the echoed id and were not affected; TestStrayResponsesAreDiscarded.)

Change: the answer must repeat the id of its request if it bears one, otherwise the attempt's outcome is unknown and the connection is closed. An endpoint that has not been seen to repeat ids gets one connection a request. The stand-ins repeat ids.

--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 
 	"filbertusher/pkg/usher"
 )
@@ -47,6 +48,15 @@
 // Error implements error.
 func (*UnknownLengthError) Error() string { return "the answer has no length" }
 
+// ForeignResponseError is the cause if the endpoint sent the response to another
+// request, for example a second copy that came late on a reused connection.
+type ForeignResponseError struct{ ID usher.RequestID }
+
+// Error implements error.
+func (e *ForeignResponseError) Error() string {
+	return "the answer belongs to request " + strconv.Quote(string(e.ID))
+}
+
 // UnsupportedError is the cause if the protocol does not have the operation.
 type UnsupportedError struct{ Operation string }
 
@@ -54,9 +64,37 @@
 func (e *UnsupportedError) Error() string { return e.Operation + " is not supported" }
 
 // client makes HTTP requests to one endpoint. Both protocols use it.
+//
+// echoes is set once the endpoint has repeated the ID of a request in its response.
+// Until then every request has a connection of its own: nothing else would tell a late
+// copy of one response from the response to the next request on a connection.
 type client struct {
-	base string
-	http *http.Client
+	base   string
+	http   *http.Client
+	echoes atomic.Bool
+}
+
+// do sends a request with its ID and checks that the response belongs to it.
+func (c *client) do(request *http.Request, id usher.RequestID, operation string) (*http.Response, error) {
+	if id != "" {
+		request.Header.Set(headerRequestID, string(id))
+	}
+	request.Close = !c.echoes.Load()
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, &usher.BackendError{Operation: operation, Reached: !isDialError(err), Cause: err}
+	}
+	echoed := usher.RequestID(response.Header.Get(headerRequestID))
+	if echoed == "" {
+		return response, nil
+	}
+	if echoed != id {
+		// Closing a body that was not read closes the connection.
+		_ = response.Body.Close()
+		return nil, &usher.BackendError{Operation: operation, Reached: true, Cause: &ForeignResponseError{ID: echoed}}
+	}
+	c.echoes.Store(true)
+	return response, nil
 }
 
 // nonRewindableBody hides the reader's type from net/http. The transport retries a
@@ -85,13 +123,8 @@
 	if call.Key != "" {
 		request.Header.Set(headerKey, string(call.Key))
 	}
-	request.Header.Set(headerRequestID, string(id))
 	request.Header.Set(headerFence, strconv.FormatUint(uint64(fence), 10))
-	response, err := c.http.Do(request)
-	if err != nil {
-		return nil, &usher.BackendError{Operation: "call", Reached: !isDialError(err), Cause: err}
-	}
-	return response, nil
+	return c.do(request, id, "call")
 }
 
 // Call implements usher.Backend.
--- a/internal/endpoint/model.go
+++ b/internal/endpoint/model.go
@@ -91,9 +91,9 @@
 	if from > 0 {
 		request.Header.Set(headerLastEventID, strconv.FormatUint(from-1, 10))
 	}
-	response, err := m.http.Do(request)
+	response, err := m.do(request, id, "resume")
 	if err != nil {
-		return nil, &usher.BackendError{Operation: "resume", Reached: !isDialError(err), Cause: err}
+		return nil, err
 	}
 	if !isEventStream(response) {
 		_ = response.Body.Close()
@@ -109,9 +109,9 @@
 	if err != nil {
 		return &usher.BackendError{Operation: "cancel", Cause: err}
 	}
-	response, err := m.http.Do(request)
+	response, err := m.do(request, id, "cancel")
 	if err != nil {
-		return &usher.BackendError{Operation: "cancel", Reached: !isDialError(err), Cause: err}
+		return err
 	}
 	_ = response.Body.Close()
 	return nil
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -63,7 +63,17 @@
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.serving.snapshot()) })
 	mux.HandleFunc("PUT /control/slowdown", e.handleSlowdown)
 	mux.HandleFunc("GET /control/totals", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.snapshotTotals()) })
-	return mux
+	return EchoRequestID(mux)
+}
+
+// EchoRequestID repeats the ID of each request in its response.
+func EchoRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(HeaderRequestID); id != "" {
+			w.Header().Set(HeaderRequestID, id)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (e *Engine) handleChat(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/orderservice/orderservice.go
+++ b/internal/standin/orderservice/orderservice.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"filbertusher/internal/standin/engine"
 )
 
 // HeaderIdempotencyKey is the header of the caller's idempotency key. It is used for counting
@@ -43,7 +45,7 @@
 	mux.HandleFunc("GET /stock/{item}", s.handleStock)
 	mux.HandleFunc("GET /control/executions", s.handleExecutions)
 	mux.HandleFunc("PUT /control/delay", s.handleDelay)
-	return mux
+	return engine.EchoRequestID(mux)
 }
 
 func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
