Let sound chains expire beside broken ones

Cause, found by reading: record expire stopped at the first broken chain, in the order in which chains happened to be listed, so that a random rest was never deleted.

Change: a broken chain is left and named, the others expire; other errors still end the command. TestBrokenChainsDoNotKeepOthers fails on the commit before.

--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -424,3 +424,25 @@
 		t.Errorf("got %v, want a BrokenChainError", err)
 	}
 }
+
+// TestBrokenChainsDoNotKeepOthers checks that every sound chain expires although several
+// others are broken, and that each of these is named.
+func TestBrokenChainsDoNotKeepOthers(t *testing.T) {
+	r := newTestRecord(6)
+	for writer := range 6 {
+		for range 4 {
+			r.appendBatch(fmt.Sprint("writer-", writer), "", 1, false)
+		}
+	}
+	r.remove("writer-1", 1)
+	r.remove("writer-4", 2)
+	result, err := archive.NewReader(r).Expire(t.Context(), start.Add(1000*time.Hour), time.Hour)
+	if diff := cmp.Diff(4, result.Chains); diff != "" {
+		t.Errorf("chains that expired (-want +got):\n%s", diff)
+	}
+	for _, writer := range []string{"writer-1", "writer-4"} {
+		if err == nil || !strings.Contains(err.Error(), writer) {
+			t.Errorf("the error %v does not name %s", err, writer)
+		}
+	}
+}
--- a/internal/archive/expire.go
+++ b/internal/archive/expire.go
@@ -35,32 +35,51 @@
 
 // Expire deletes the batches whose newest decision is older than retention. It
 // stores a checkpoint with the digest of the last expired batch first, so that the
-// rest of the chain can be verified at any time during the deletion.
+// rest of the chain can be verified at any time during the deletion. A broken chain is
+// left as it is and does not keep the others from expiring; the error is a
+// *BrokenChainError for each of them.
 func (r *Reader) Expire(ctx context.Context, now time.Time, retention time.Duration) (ExpiryResult, error) {
 	var total ExpiryResult
 	chains, err := r.Chains(ctx, now)
 	if err != nil {
 		return total, err
 	}
+	var broken []error
 	for _, chain := range chains {
-		batches := 0
-		for {
-			e := &expiry{Reader: r, chain: chain, cutoff: now.Add(-retention)}
-			if err := e.run(ctx, now, retention); err != nil {
-				return total, err
-			}
-			if len(e.expired) == 0 {
-				break
-			}
-			batches += len(e.expired)
-			total.Lines += e.lines
-		}
+		batches, lines, err := r.expireChain(ctx, chain, now, retention)
+		total.Batches += batches
+		total.Lines += lines
 		if batches > 0 {
 			total.Chains++
 		}
-		total.Batches += batches
+		var brokenChain *BrokenChainError
+		switch {
+		case errors.As(err, &brokenChain):
+			broken = append(broken, err)
+		case err != nil:
+			return total, err
+		}
+	}
+	if len(broken) == 1 {
+		return total, broken[0]
+	}
+	return total, errors.Join(broken...)
+}
+
+// expireChain expires the batches of one chain, in as many checkpoints as needed. It
+// returns the numbers of batches and lines that expired.
+func (r *Reader) expireChain(ctx context.Context, chain *Chain, now time.Time, retention time.Duration) (batches, lines int, err error) {
+	for {
+		e := &expiry{Reader: r, chain: chain, cutoff: now.Add(-retention)}
+		if err := e.run(ctx, now, retention); err != nil {
+			return batches, lines, err
+		}
+		if len(e.expired) == 0 {
+			return batches, lines, nil
+		}
+		batches += len(e.expired)
+		lines += e.lines
 	}
-	return total, nil
 }
 
 // retainedBatchError stops the iteration at the first batch that is not deleted: it
