Take no request later than three seconds after SIGTERM

With the second that a stopping server took to accept what waits, a gateway took a request 3.9 s after SIGTERM and had to cut it at the end of its grace 3.7 s later.

Change: the time to accept is half a second, a connection without a request is closed after a tenth, and both end within those 3 s: readiness is failed 2.4 s before.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -21,6 +21,7 @@
 	"filbertusher/internal/admin"
 	"filbertusher/internal/discovery"
 	"filbertusher/internal/dispatch"
+	"filbertusher/internal/drain"
 	"filbertusher/internal/gateway"
 	"filbertusher/internal/pause"
 	"filbertusher/internal/peering"
@@ -47,9 +48,13 @@
 	// memoryLimitFraction is the Go runtime's soft memory limit as a fraction of the
 	// limit in the platform's settings. Above it, garbage is collected more often.
 	memoryLimitFraction = 0.7
-	// readinessDelay is how long the load balancer needs to stop sending requests to
-	// an instance that is no longer ready, plus a margin of one second.
-	readinessDelay = 3 * time.Second
+	// takeRequestsFor is how long a stopping instance takes requests, at most. The
+	// platform allows an instance to cut those that it took within that time and that
+	// still run at the end of the grace period.
+	takeRequestsFor = 3 * time.Second
+	// readinessDelay is how long a stopping instance serves before it stops to accept
+	// connections. The load balancer needs two seconds to notice that it is not ready.
+	readinessDelay = takeRequestsFor - drain.AcceptTime
 	// shutdownMargin is the time between cancelling the requests that are still in
 	// flight and the end of the grace period, when the platform kills the process.
 	shutdownMargin = 400 * time.Millisecond
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -58,7 +58,7 @@
 	// closes its listener, and maxAcceptDrain how long it accepts connections at most.
 	// A caller whose last packet of the handshake was dropped sends again after 200 ms.
 	acceptQuiet    = 250 * time.Millisecond
-	maxAcceptDrain = time.Second
+	maxAcceptDrain = 500 * time.Millisecond
 )
 
 // listener accepts connections. After stop it accepts those that are already waiting,
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -16,10 +16,14 @@
 	"time"
 )
 
+// AcceptTime is how long after the start of Shutdown requests may still be taken: on
+// connections that waited to be accepted.
+const AcceptTime = maxAcceptDrain + newConnGrace
+
 const (
 	// newConnGrace is how long a stopping server waits for the first request on a
 	// connection.
-	newConnGrace = 500 * time.Millisecond
+	newConnGrace = 100 * time.Millisecond
 	// checkInterval is how often a stopping server looks for connections that it can
 	// close.
 	checkInterval = 20 * time.Millisecond
--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -13,9 +13,14 @@
 	"time"
 )
 
+// lastTaken is the time after SIGTERM up to which a gateway may take requests. Later ones
+// could not be finished within the grace.
+const lastTaken = 3 * time.Second
+
 // A planned stop under load cuts no request that the gateway took: callers with new and
 // with kept connections send requests until nobody listens any more. A request on a
-// kept connection may cross its close, but then no replica has run it.
+// kept connection may cross its close, but then no replica has run it. No request is
+// taken that was sent later than lastTaken.
 func TestGracefulShutdownUnderLoad(t *testing.T) {
 	c := newCluster(t)
 	desk := newReplica(t, "d1", "desk", 64, 0)
@@ -24,7 +29,7 @@
 	g := c.startGateway("g1")
 	c.awaitServed(g, "/check/a")
 	var wait sync.WaitGroup
-	var answered, cut, crossed atomic.Int64
+	var answered, cut, crossed, late, terminated atomic.Int64
 	stopped := make(chan struct{})
 	send := func(conn net.Conn, reader *bufio.Reader, id string) (*http.Response, error) {
 		_ = conn.SetDeadline(time.Now().Add(8 * time.Second))
@@ -57,7 +62,11 @@
 				for first := true; first || kept; first = false {
 					n++
 					id := fmt.Sprintf("load-%d-%d", caller, n)
+					sent := time.Now()
 					response, err := send(conn, reader, id)
+					if at := terminated.Load(); at > 0 && sent.UnixNano()-at > int64(lastTaken) && desk.executionsOf(id) > 0 {
+						late.Add(1)
+					}
 					if err == nil {
 						answered.Add(1)
 						if response.Close {
@@ -86,6 +95,10 @@
 	time.Sleep(300 * time.Millisecond)
 	close(stopped)
 	g.Signal(syscall.SIGTERM)
+	terminated.Store(time.Now().UnixNano())
 	wait.Wait()
+	if late.Load() > 0 {
+		t.Errorf("%d requests were taken that were sent later than %v after SIGTERM", late.Load(), lastTaken)
+	}
 	t.Logf("%d answered, %d cut, %d crossed the close of their connection", answered.Load(), cut.Load(), crossed.Load())
 }
