--- a/internal/dispatch/density.go
+++ b/internal/dispatch/density.go
@@ -20,6 +20,9 @@
 	baseServiceSeconds = 0.03
 	// meanSizeWeight is the weight of a new request in the moving mean of the sizes.
 	meanSizeWeight = 0.02
+	// densitySamples is the number of recent requests of a rank from which the share
+	// of those that will overtake a request is estimated.
+	densitySamples = 32
 )
 
 // prioritize sets the value density of a new request and its size class.
@@ -63,3 +66,30 @@
 	}
 	return seconds
 }
+
+// densityWindow holds the last densitySamples densities, written in rotation at next.
+type densityWindow struct {
+	values []float64
+	next   int
+}
+
+func (d *densityWindow) add(density float64) {
+	if len(d.values) < densitySamples {
+		d.values = append(d.values, density)
+		return
+	}
+	d.values[d.next] = density
+	d.next = (d.next + 1) % densitySamples
+}
+
+// fractionAbove returns the fraction of the densities that are higher than the given
+// one.
+func (d *densityWindow) fractionAbove(density float64) float64 {
+	above := 0
+	for _, value := range d.values {
+		if value > density {
+			above++
+		}
+	}
+	return float64(above) / float64(max(1, len(d.values)))
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -27,9 +27,6 @@
 	// medianArrival is the median time to the next grant, in mean times between two
 	// grants: the median of an exponential distribution.
 	medianArrival = math.Ln2
-	// densitySamples is the number of recent requests of a rank from which the share
-	// of those that will overtake a request is estimated.
-	densitySamples = 32
 	// ranks is the number of distinct ranks. Higher ranks are treated as the last.
 	ranks = 16
 	// oldestEvery is the interval, in grants of a rank, at which the oldest request of
@@ -87,33 +84,6 @@
 	count     int
 }
 
-// densityWindow holds the last densitySamples densities, written in rotation at next.
-type densityWindow struct {
-	values []float64
-	next   int
-}
-
-func (d *densityWindow) add(density float64) {
-	if len(d.values) < densitySamples {
-		d.values = append(d.values, density)
-		return
-	}
-	d.values[d.next] = density
-	d.next = (d.next + 1) % densitySamples
-}
-
-// fractionAbove returns the fraction of the densities that are higher than the given
-// one.
-func (d *densityWindow) fractionAbove(density float64) float64 {
-	above := 0
-	for _, value := range d.values {
-		if value > density {
-			above++
-		}
-	}
-	return float64(above) / float64(max(1, len(d.values)))
-}
-
 // rankOf returns the rank that a request is queued under. Started requests get the
 // most urgent rank: without the remainder of a stream, the part that was already
 // delivered is lost.
@@ -335,9 +305,10 @@
 }
 
 // availableRate returns the grants per second that remain for a queued request, or 0
-// until a request has been answered: those of the service less the arrivals that go before it,
-// which are of more urgent ranks or, within its rank, of higher density. It is never
-// below half of the rate that credit gives to overtaken ranks.
+// until a request has been answered. It is the rate of the service less that of the
+// arrivals that go before the request: those of more urgent ranks and, within its rank,
+// of higher density. It is never below half of the rate that credit gives to overtaken
+// ranks.
 func (svc *service) availableRate(w *waiter, now time.Time) float64 {
 	if svc.slotTime == 0 {
 		return 0
