--- a/test/control/stopped_companion_test.go
+++ b/test/control/stopped_companion_test.go
@@ -27,6 +27,7 @@
 	if _, err := companion.Await(ctx, "stopping"); err != nil {
 		t.Fatal(err)
 	}
+	awaitLeaving(ctx, t, companion)
 	// A new connection, like that of an entry that has just started.
 	client := peerrpc.New(companion.Address)
 	defer client.Close()
@@ -44,3 +45,19 @@
 		t.Error(err)
 	}
 }
+
+// awaitLeaving waits until the companion refuses new requests. It logs the stop a moment
+// before.
+func awaitLeaving(ctx context.Context, t *testing.T, companion *fleet.Member) {
+	t.Helper()
+	for {
+		var dump struct{ Companion struct{ Leaving bool } }
+		if err := companion.Dump(ctx, &dump); err != nil {
+			t.Fatal(err)
+		}
+		if dump.Companion.Leaving {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
