Judge the shared quota by the time that the requests took

It sent one request after the other and counted on a machine that is quick enough: at 100 a second all of them are within the quota.

Now sixteen callers send 600 requests, and what was admitted is held against rate, burst and tolerance over the time that they took; a run too slow to show anything fails. That is stricter than 250 of 300 on a quick machine.

--- a/test/gateway/gateway_test.go
+++ b/test/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -587,17 +588,28 @@
 		defer response.Body.Close()
 		return json.NewDecoder(response.Body).Decode(&dump) == nil && len(dump.Peers) == 1 && dump.Peers[0].Name == "g2" && !dump.Peers[0].Silent
 	})
-	served := 0
-	for i := range 300 {
-		g := []*gateway{one, two}[i%2]
-		if g.call(t.Context(), http.MethodGet, "/check/a", fmt.Sprint("c", i)).status == http.StatusOK {
-			served++
-		}
+	const requests, callers, tokens = 600, 16, 200
+	var sent, served atomic.Int64
+	var wait sync.WaitGroup
+	started := time.Now()
+	for caller := range callers {
+		wait.Go(func() {
+			for i := sent.Add(1); i <= requests; i = sent.Add(1) {
+				if []*gateway{one, two}[caller%2].call(t.Context(), http.MethodGet, "/check/a", fmt.Sprint("c", i)).status == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	elapsed := time.Since(started)
+	// The quota with the tolerance of the settings: rate and burst, a tenth, and the slack.
+	allowed := (c.quota*elapsed.Seconds()+c.quota)*1.1 + 1000
+	if requests*tokens < allowed {
+		t.Fatalf("%d requests in %v are within the quota, so that nothing is shown", requests, elapsed)
 	}
-	// 300 requests of 200 tokens are 60000 tokens, three times the burst and three times
-	// what the quota admits in a second.
-	if served > 250 {
-		t.Errorf("%d of 300 requests were admitted under a quota shared by two gateways, want at most 250", served)
+	if used := float64(served.Load() * tokens); used > allowed {
+		t.Errorf("%.0f tokens were admitted in %v under a quota shared by two gateways, want at most %.0f", used, elapsed, allowed)
 	}
 }
 
