--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -270,7 +270,8 @@
 
 // shedLoad refuses the requests of a rank and of less urgent ones that are not
 // expected to be served before their wait deadline. Refusing them immediately saves
-// their callers the wait.
+// their callers the wait. The load that this answers is an overload spread over many
+// instances, each of which has a queue of only a few requests.
 func (s *Scheduler) shedLoad(svc *service, rank int, now time.Time) {
 	if len(svc.endpoints) == 0 {
 		return
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -84,7 +84,7 @@
 	if !slices.Equal(sorted, s.members) {
 		s.members = sorted
 		for _, svc := range s.services {
-			// The shares are in the order of the members, which is another one now.
+			// The shares are in the order of the members, which has changed.
 			svc.shares = nil
 			for name, e := range svc.endpoints {
 				e.roundingOrder = roundingOrder(s.members, name)
--- a/internal/dispatch/sizes.go
+++ b/internal/dispatch/sizes.go
@@ -48,6 +48,8 @@
 
 // routeStats are the statistics of one route by which its requests are ordered.
 //
+// The load that this answers is an overload of seconds in which the answers to the
+// requests of one route differ in length by a factor of a hundred.
 // Ordering by value density alone starves long answers under overload, because the
 // value of a request grows more slowly than its slot time. Every arrival therefore
 // earns its size class a fraction of a grant. A class that is owed a grant goes
--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -85,7 +85,7 @@
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, err
 	case stopBy == nil:
-		// The deadline that stop has set. What waits is still to be accepted.
+		// stop has set the deadline. Accepts the connections that are waiting.
 		return l.Accept()
 	default:
 		return nil, net.ErrClosed
