--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -46,10 +46,11 @@
 	reservedBytes int64
 	refusalKind   usher.RefusalKind
 
-	// The remaining fields are logged when the request ends. endpointRunning is the
-	// number of requests known to be running at the endpoint when this one was
-	// granted.
+	// The remaining fields are logged when the request ends. attemptSent is when the
+	// current attempt was sent. endpointRunning is the number of requests known to be
+	// running at the endpoint when this one was granted.
 	attempts        int
+	attemptSent     time.Time
 	endpoint        usher.EndpointName
 	waited          time.Duration
 	expectedLatency time.Duration
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -39,6 +39,9 @@
 	response.Close(err == nil)
 	if err != nil {
 		grant.End(cancelledOr(ctx, dispatch.Failed))
+		if ctx.Err() == nil {
+			h.detectCrash(grant, progressHeader)
+		}
 		return attemptResult{outcome: lost, cause: err}
 	}
 	if !mayForwardStatus(response) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -186,10 +186,10 @@
 
 // exchange sends the request and handles the response.
 func (h *requestHandler) exchange(ctx context.Context, grant *dispatch.Grant, relay *streamRelay, monitor *attemptMonitor) attemptResult {
-	sent := time.Now()
+	h.attemptSent = time.Now()
 	response, err := h.gateway.Pool.Send(ctx, &grant.Endpoint, h.upstreamRequest(grant, relay.lastID))
 	if err != nil {
-		return h.handleSendError(ctx, grant, err, sent)
+		return h.handleSendError(ctx, grant, err)
 	}
 	if response.Metadata.NotRun {
 		response.Close(false)
@@ -209,7 +209,7 @@
 	return dispatch.Full
 }
 
-func (h *requestHandler) handleSendError(ctx context.Context, grant *dispatch.Grant, err error, sent time.Time) attemptResult {
+func (h *requestHandler) handleSendError(ctx context.Context, grant *dispatch.Grant, err error) attemptResult {
 	notSentErr := new(upstream.NotSentError)
 	switch {
 	case errors.As(err, &notSentErr) && ctx.Err() == nil:
@@ -223,7 +223,7 @@
 		return attemptResult{outcome: lost, cause: err}
 	}
 	grant.End(dispatch.Failed)
-	h.detectCrash(grant, sent)
+	h.detectCrash(grant, progressNone)
 	return attemptResult{outcome: lost, cause: err}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,6 +41,7 @@
 		return attemptResult{outcome: lost, cause: &upstream.InvalidResponseError{Reason: "a stream that the endpoint does not vouch for"}}
 	}
 	events := upstream.NewEventReader(response.Body)
+	eventsBefore := h.eventCount
 	err := s.copyEvents(grant, response, events, monitor)
 	response.Close(errors.Is(err, io.EOF))
 	if s.writeFailed {
@@ -50,6 +51,9 @@
 	}
 	if !errors.Is(err, io.EOF) {
 		grant.End(cancelledOr(ctx, dispatch.Failed))
+		if ctx.Err() == nil {
+			h.detectCrash(grant, streamProgress(h.eventCount-eventsBefore))
+		}
 		return attemptResult{outcome: lost, cause: err}
 	}
 	grant.End(dispatch.Answered)
@@ -61,6 +65,13 @@
 	return attemptResult{outcome: delivered}
 }
 
+func streamProgress(events int) responseProgress {
+	if events > 0 {
+		return progressEvents
+	}
+	return progressHeader
+}
+
 // copyEvents relays events until the stream ends, and returns why it ended: io.EOF
 // for a complete stream.
 func (s *streamRelay) copyEvents(grant *dispatch.Grant, response *upstream.Response, events *upstream.EventReader, monitor *attemptMonitor) error {
