Add a failing test of prompt parts that crash replicas

Three gateways, six engines; a quarter of the requests have one part in common under which an engine ends once it has written the header of its stream.

--- /dev/null
+++ b/test/gateway/crash_part_test.go
@@ -0,0 +1,200 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// The bounds of the platform for prompt parts that crash replicas.
+const (
+	// contactTime is the platform's contact_ms in these tests.
+	contactTime = 3 * time.Second
+	// crashesBeforeBound is the number of crashes after which the bound applies, and
+	// maxCrashPartRequests is how many requests with the part may then reach replicas.
+	crashesBeforeBound   = 5
+	maxCrashPartRequests = 3
+	// replicaRestart is how long a crashed replica is away, and registrationLapse when
+	// its registration is removed.
+	replicaRestart    = 700 * time.Millisecond
+	registrationLapse = 1200 * time.Millisecond
+)
+
+// engines keeps a number of replicas of the service "model" running. A replica that
+// crashed is replaced by a new one under another ID and address.
+type engines struct {
+	*cluster
+	unframed bool
+
+	mu       sync.Mutex
+	running  []*replica
+	started  int
+	arrivals []arrival
+	crashes  []time.Time
+}
+
+// arrival is a request that reached a replica.
+type arrival struct {
+	at        time.Time
+	crashPart bool
+}
+
+const crashPart = "bad"
+
+func startEngines(c *cluster, n int, unframed bool) *engines {
+	e := &engines{cluster: c, unframed: unframed}
+	for range n {
+		e.startOne()
+	}
+	return e
+}
+
+func (e *engines) startOne() {
+	e.started++
+	r := newReplica(e.t, fmt.Sprint("m", e.started), "model", 4, 5)
+	r.crashPart, r.unframed, r.processingTime = crashPart, e.unframed, 10*time.Millisecond
+	r.onArrival = func(request *http.Request) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.arrivals = append(e.arrivals, arrival{time.Now(), hasPart(request, crashPart)})
+	}
+	e.running = append(e.running, r)
+	e.register(r, "ready")
+}
+
+// replaceCrashed replaces crashed replicas until ctx ends.
+func (e *engines) replaceCrashed(ctx context.Context) {
+	var away sync.WaitGroup
+	defer away.Wait()
+	for ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+		e.mu.Lock()
+		for i := 0; i < len(e.running); i++ {
+			r := e.running[i]
+			if r.listens() {
+				continue
+			}
+			e.running = append(e.running[:i], e.running[i+1:]...)
+			i--
+			e.crashes = append(e.crashes, time.Now())
+			away.Go(func() {
+				time.Sleep(replicaRestart)
+				e.mu.Lock()
+				e.startOne()
+				e.mu.Unlock()
+				time.Sleep(registrationLapse - replicaRestart)
+				e.deregister(r)
+			})
+		}
+		e.mu.Unlock()
+	}
+}
+
+// crashPartRequestsAfter returns how many requests with the part reached replicas after a
+// time.
+func (e *engines) crashPartRequestsAfter(from time.Time) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, a := range e.arrivals {
+		if a.crashPart && a.at.After(from) {
+			n++
+		}
+	}
+	return n
+}
+
+// boundBegins returns when the bound begins to apply, or false if fewer replicas have
+// crashed.
+func (e *engines) boundBegins() (time.Time, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.crashes) < crashesBeforeBound {
+		return time.Time{}, false
+	}
+	return e.crashes[crashesBeforeBound-1].Add(contactTime), true
+}
+
+// soundResults counts the requests without the part and those that were answered.
+type soundResults struct {
+	mu             sync.Mutex
+	sent, answered int
+}
+
+func (s *soundResults) add(answered bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent++
+	if answered {
+		s.answered++
+	}
+}
+
+// sendMixed sends requests with and without the part through the gateways in turn until
+// ctx ends. No two are alike; those without it have the credential and all other shared
+// parts in common with those that have it.
+func (e *engines) sendMixed(ctx context.Context, gateways []*gateway, name string) *soundResults {
+	sound := &soundResults{}
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	ticker := time.NewTicker(15 * time.Millisecond)
+	defer ticker.Stop()
+	for i := 0; ctx.Err() == nil; i++ {
+		<-ticker.C
+		g, id := gateways[i%len(gateways)], fmt.Sprint(name, i)
+		requests.Go(func() {
+			if i%4 == 0 {
+				e.send(g, id, "s:60,m:300,"+crashPart+":500,"+id+":90")
+				return
+			}
+			sound.add(e.send(g, id, "s:60,m:300,"+id+":90").status == http.StatusOK)
+		})
+	}
+	return sound
+}
+
+func (e *engines) send(g *gateway, id, parts string) callResult {
+	return g.call(context.Background(), http.MethodPost, "/plan/"+id, id, "X-Filbertusher-Token-Count", "450,20", "X-Filbertusher-Prompt-Prefix", parts)
+}
+
+// Requests that share only a part of their prompt crash each replica that begins to
+// answer. They must stop reaching replicas while other requests are served.
+func TestPromptPartThatCrashesReplicas(t *testing.T) {
+	for _, unframed := range []bool{false, true} {
+		t.Run(fmt.Sprint("unframed=", unframed), func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t)
+			e := startEngines(c, 6, unframed)
+			gateways := []*gateway{c.startGateway("g1"), c.startGateway("g2"), c.startGateway("g3")}
+			ctx, stop := context.WithCancel(t.Context())
+			var replacing sync.WaitGroup
+			replacing.Go(func() { e.replaceCrashed(ctx) })
+			defer replacing.Wait()
+			defer stop()
+			for i, g := range gateways {
+				c.eventually("an engine serves", func() bool {
+					return e.send(g, fmt.Sprint("first", i, time.Now().UnixNano()), "s:60,m:300,own:90").status == http.StatusOK
+				})
+			}
+			learning, stopLearning := context.WithTimeout(ctx, 2*contactTime+time.Second)
+			defer stopLearning()
+			e.sendMixed(learning, gateways, "a")
+			settled, stopSettled := context.WithTimeout(ctx, 2*time.Second)
+			defer stopSettled()
+			sound := e.sendMixed(settled, gateways, "b")
+
+			if from, applies := e.boundBegins(); applies {
+				if n := e.crashPartRequestsAfter(from); n > maxCrashPartRequests {
+					t.Errorf("%d requests with the part reached replicas later than %v after the fifth crash, want at most %d; %d replicas crashed",
+						n, contactTime, maxCrashPartRequests, len(e.crashes))
+				}
+			}
+			if 2*sound.answered < sound.sent {
+				t.Errorf("%d of %d requests without the part were answered, want at least half", sound.answered, sound.sent)
+			}
+		})
+	}
+}
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -41,8 +41,13 @@
 	stall time.Duration
 	// padding is the number of bytes that are added to each event of a stream.
 	padding int
-	// crashPath is the path of requests that crash the replica.
+	// crashPath is the path of requests that crash the replica, and crashPart the part
+	// of a prompt under which it crashes once it begins to write a stream. unframed
+	// streams have neither a length nor chunks. onArrival is called for each request.
 	crashPath      string
+	crashPart      string
+	unframed       bool
+	onArrival      func(*http.Request)
 	executions     map[string]int
 	requestHeaders []http.Header
 	starts         []executionStart
@@ -97,6 +102,9 @@
 
 func (r *replica) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("X-Filbertusher-Attempt-Id")
+	if r.onArrival != nil {
+		r.onArrival(request)
+	}
 	w.Header().Set("X-Filbertusher-Attempt-Id", id)
 	if expected := request.Header.Get("X-Filbertusher-Expect-Instance"); expected != r.id {
 		w.Header().Set("X-Filbertusher-Instance-Id", r.id)
@@ -162,6 +170,10 @@
 		r.reset(w)
 	case fails:
 		w.WriteHeader(http.StatusInternalServerError)
+	case r.crashPart != "" && hasPart(request, r.crashPart):
+		r.crashWhileWriting(w)
+	case r.unframed:
+		r.streamUnframed(w, request, id)
 	case r.eventsPerStream > 0:
 		r.stream(w, request, id, eventInterval, abortAfter)
 	default:
@@ -176,6 +188,55 @@
 	r.server.CloseClientConnections()
 }
 
+// crashWhileWriting sends the header of a stream and crashes before its first event.
+func (r *replica) crashWhileWriting(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		framing := "Transfer-Encoding: chunked\r\n"
+		if r.unframed {
+			framing = "Connection: close\r\n"
+		}
+		_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n" + framing)
+		_ = w.Header().Write(buffered)
+		_, _ = buffered.WriteString("\r\n")
+		_ = buffered.Flush()
+	}
+	_ = r.server.Listener.Close()
+	if err == nil {
+		_ = conn.Close()
+	}
+	r.server.CloseClientConnections()
+}
+
+// streamUnframed sends a whole stream that ends with its connection.
+func (r *replica) streamUnframed(w http.ResponseWriter, request *http.Request, id string) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = buffered.WriteString("\r\n")
+	lastEventID, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	for i := lastEventID + 1; i <= r.eventsPerStream; i++ {
+		_, _ = buffered.WriteString(r.event(id, i))
+	}
+	_ = buffered.Flush()
+}
+
+// hasPart reports whether the request's prompt has a part.
+func hasPart(request *http.Request, part string) bool {
+	for _, listed := range strings.Split(request.Header.Get("X-Filbertusher-Prompt-Prefix"), ",") {
+		if id, _, _ := strings.Cut(listed, ":"); id == part {
+			return true
+		}
+	}
+	return false
+}
+
 // reset resets the connection without a response.
 func (r *replica) reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -210,6 +271,16 @@
 	}
 }
 
+// listens reports whether the replica accepts connections.
+func (r *replica) listens() bool {
+	conn, err := net.DialTimeout("tcp", r.address(), time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // completeStream returns the stream that a caller should receive for a request.
 func (r *replica) completeStream(id string) string {
 	text := ""
