Find the part of a prompt that crashes endpoints, and refuse it

Cause: crashes were counted for the whole content of a request, so that requests which share only a part of their prompt were counted one by one, and only if the connection broke before the header. The requests that end an engine do so once it writes, so they were the ones that were never counted; those that were counted only ran beside them.

internal/blame replaces the gateways' use of internal/suspect. A crash is recorded for the whole request and for each shared part of its prompt, at whatever progress the response was. Answers clear what their requests have in common, and a part that was present at other crashes explains this one, so that few traits are blamed and those that ran beside the cause are not. A crash has one key at all gateways, and the reports carry the records as before. Requests are checked again after they waited, before they are retried and before they move. What callers choose is kept as digests: 1024 records of 32 crashes, 32 traits a request, 32 records a report. A blamed trait is let through once after 10 minutes.

--- /dev/null
+++ b/internal/blame/blame.go
@@ -0,0 +1,408 @@
+// Package blame finds out which content of requests crashes endpoints, so that requests
+// with it are refused. Only gateway instances use it; companions run suspects alone
+// instead (package suspect).
+//
+// A request has several traits: its whole content, and each part of its prompt that
+// other requests may share. A crash is recorded for every trait of all requests that
+// were running at the endpoint, most of which only ran beside the cause. Two
+// observations single out the cause:
+//
+//   - An answer clears the traits of its request, because the cause is never answered.
+//   - A trait that was present at other crashes explains this one, and the other traits
+//     need no blame for it.
+//
+// For example, with requests that have the parts s, m and p:
+//
+//	{s, m, p} runs beside {s, n}, crash 1    s: 1  m: 1  n: 1  p: 1
+//	{s, m} is answered                       s: 0  m: 0  n: 1  p: 1
+//	{s, p} runs beside {s, m}, crash 2       s: 1  m: 1  n: 1  p: 2
+//	{s, m, p} runs alone, crash 3            s: 2  m: 2  n: 1  p: 3, the cause of all three
+//
+// Instances exchange their records in the reports that they send each other. A crash
+// has the same key at all instances, so that one that several of them saw counts once.
+// Records are merged in any order with the same result.
+package blame
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"filbertusher/pkg/usher"
+)
+
+// Key identifies a trait by a digest, because callers choose the length of what it
+// stands for. The digest is cryptographic so that no caller can find content with the
+// key of another caller's.
+type Key uint64
+
+// CrashKey identifies the crash of one incarnation of an endpoint.
+type CrashKey uint64
+
+// Trait is something that a request has in common with others. Label shows operators
+// what Key stands for; it is at most maxLabelBytes long. Whole is set for the whole
+// content of a request, and unset for a part of its prompt.
+type Trait struct {
+	Key   Key    `json:"key"`
+	Label string `json:"label"`
+	Whole bool   `json:"whole"`
+}
+
+// maxLabelBytes bounds a label. IDs of parts are longer only if callers make them so.
+const maxLabelBytes = 32
+
+// WholeRequest returns the trait that stands for the whole content of a request.
+// digest covers method, path and body.
+func WholeRequest(workspace usher.WorkspaceName, service usher.ServiceName, digest usher.Digest) Trait {
+	return Trait{Key: Key(digestOf("request", string(workspace), string(service), string(digest))), Label: string(digest[:min(len(digest), maxLabelBytes)]), Whole: true}
+}
+
+// SharedParts returns the traits that stand for the parts of a prompt. The last part is
+// left out: it belongs to the request alone.
+func SharedParts(parts []usher.PromptPart) []Trait {
+	if len(parts) < 2 {
+		return nil
+	}
+	traits := make([]Trait, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		traits = append(traits, Trait{Key: Key(digestOf("part", part.ID)), Label: part.ID[:min(len(part.ID), maxLabelBytes)]})
+	}
+	return traits
+}
+
+// CrashOf returns the key of the crash of an endpoint.
+func CrashOf(endpoint *usher.Registration) CrashKey {
+	return CrashKey(digestOf("crash", string(endpoint.Name), strconv.FormatInt(endpoint.Born, 10), endpoint.Address))
+}
+
+func digestOf(fields ...string) uint64 {
+	hash := sha256.New()
+	for _, field := range fields {
+		hash.Write([]byte(strconv.Itoa(len(field)) + ":" + field))
+	}
+	return binary.BigEndian.Uint64(hash.Sum(nil))
+}
+
+// Record lists the crashes of endpoints that were running requests with a trait, the
+// newest last. Generation counts the answers that cleared it, and Answered says that
+// there was one before the record began. Age is the time since the last change, at the
+// moment of the report.
+type Record struct {
+	Trait
+	Generation uint64        `json:"generation"`
+	Answered   bool          `json:"answered"`
+	Crashes    []CrashKey    `json:"crashes"`
+	Age        time.Duration `json:"ageNanos"`
+}
+
+const (
+	// maxRecords bounds the records of a process and maxReported those of a report.
+	maxRecords  = 1024
+	maxReported = 32
+	// maxCrashes bounds the crashes of a record and maxReportedCrashes those that a
+	// report lists of it.
+	maxCrashes         = 32
+	maxReportedCrashes = 8
+	// maxTraits bounds the traits of one request for which a crash is recorded.
+	maxTraits = 32
+	// recordTTL is how long a record is kept after its last change.
+	recordTTL = time.Hour
+	// clearanceTTL is how long reports tell of an answer that cleared a record.
+	clearanceTTL = time.Minute
+)
+
+// entry is a record with its state in this process. changed is when it last changed, and
+// since is when the first of its crashes was recorded here. While it is a cause, one
+// request with it is let through at retryAt.
+type entry struct {
+	Record
+	changed, since time.Time
+	cause          bool
+	retryAt        time.Time
+}
+
+// Table holds the records that one instance knows. It is safe for concurrent use.
+type Table struct {
+	now     func() time.Time
+	onCause func(Trait, int)
+
+	mu       sync.Mutex
+	records  map[Key]*entry
+	answered *keySet
+	// causes is nil while no trait is blamed, which is nearly always.
+	causes atomic.Pointer[causes]
+	// size is the number of records.
+	size atomic.Int64
+	// changed is signalled when another trait is blamed.
+	changed chan struct{}
+}
+
+// New returns an empty table. onCause is called, with the number of crashes, when a
+// trait is blamed for the first time.
+func New(now func() time.Time, onCause func(trait Trait, crashes int)) *Table {
+	return &Table{now: now, onCause: onCause, records: make(map[Key]*entry), answered: newKeySet(), changed: make(chan struct{}, 1)}
+}
+
+// RecordCrash records that an endpoint crashed while it ran a request with these traits.
+func (t *Table) RecordCrash(traits []Trait, crash CrashKey) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, trait := range t.limit(traits) {
+		e := t.entry(trait, now)
+		if slices.Contains(e.Crashes, crash) {
+			continue
+		}
+		e.addCrashes([]CrashKey{crash}, now)
+	}
+	t.update(now)
+}
+
+// limit returns the traits for which a crash is recorded: the most likely causes come
+// first, those that were never answered.
+func (t *Table) limit(traits []Trait) []Trait {
+	limited := slices.Clone(traits)
+	slices.SortStableFunc(limited, func(a, b Trait) int {
+		return boolRank(t.answered.contains(a.Key)) - boolRank(t.answered.contains(b.Key))
+	})
+	return limited[:min(len(limited), maxTraits)]
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// entry returns the entry of a trait, which it creates if there is none or an expired one.
+func (t *Table) entry(trait Trait, now time.Time) *entry {
+	e := t.records[trait.Key]
+	if e == nil || now.Sub(e.changed) > recordTTL {
+		e = &entry{Record: Record{Trait: trait, Answered: t.answered.contains(trait.Key)}, changed: now}
+		t.records[trait.Key] = e
+	}
+	return e
+}
+
+func (e *entry) addCrashes(crashes []CrashKey, now time.Time) {
+	if len(e.Crashes) == 0 {
+		e.since = now
+	}
+	e.changed = now
+	e.Crashes = append(e.Crashes, crashes...)
+	if surplus := len(e.Crashes) - maxCrashes; surplus > 0 {
+		e.Crashes = slices.Delete(e.Crashes, 0, surplus)
+	}
+	if e.cause {
+		e.postponeRetry(now)
+	}
+}
+
+// RecordAnswer records that a request with these traits was answered completely.
+func (t *Table) RecordAnswer(parts []Trait, whole func() Trait) {
+	if len(parts) == 0 && t.size.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, part := range parts {
+		t.answered.add(part.Key)
+	}
+	if len(t.records) == 0 {
+		return
+	}
+	now := t.now()
+	changed := false
+	for _, trait := range append(slices.Clone(parts), whole()) {
+		if e := t.records[trait.Key]; e != nil && len(e.Crashes) > 0 {
+			e.Generation++
+			e.clear(now)
+			changed = true
+		}
+	}
+	if changed {
+		t.update(now)
+	}
+}
+
+func (e *entry) clear(now time.Time) {
+	e.Answered, e.Crashes, e.changed, e.cause = true, nil, now, false
+}
+
+// Answered reports whether requests with each of these traits were answered before, as
+// far as this instance knows.
+func (t *Table) Answered(traits []Trait) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, trait := range traits {
+		if !t.answered.contains(trait.Key) {
+			return false
+		}
+	}
+	return true
+}
+
+// HasCrash reports whether a crash was recorded.
+func (t *Table) HasCrash(crash CrashKey) bool {
+	if t.size.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.records {
+		if slices.Contains(e.Crashes, crash) {
+			return true
+		}
+	}
+	return false
+}
+
+// Merge merges the records of another instance or of the store.
+func (t *Table) Merge(records []Record) {
+	if len(records) == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	changed := false
+	for i := range records {
+		changed = t.mergeOne(&records[i], now) || changed
+	}
+	if changed {
+		t.update(now)
+	}
+}
+
+// mergeOne merges a record and reports whether it held anything new: the record of the
+// higher generation wins, and within a generation the crashes of both count.
+func (t *Table) mergeOne(record *Record, now time.Time) bool {
+	if record.Age > recordTTL || record.Age < 0 {
+		return false
+	}
+	changedAt := now.Add(-record.Age)
+	e := t.records[record.Key]
+	if e == nil {
+		e = t.entry(record.Trait, changedAt)
+	} else if record.Generation < e.Generation {
+		return false
+	}
+	changed := false
+	if record.Answered && !e.Answered {
+		e.Answered, changed = true, true
+	}
+	if record.Generation > e.Generation {
+		e.Generation = record.Generation
+		e.clear(changedAt)
+		changed = true
+	}
+	var added []CrashKey
+	for _, crash := range record.Crashes {
+		if !slices.Contains(e.Crashes, crash) {
+			added = append(added, crash)
+		}
+	}
+	if len(added) == 0 {
+		return changed
+	}
+	changedBefore := e.changed
+	e.addCrashes(added, now)
+	e.changed = laterOf(changedBefore, changedAt)
+	return true
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Report returns the records for a report to other instances: the causes first, then the
+// traits that may be causes, then recent clearances.
+func (t *Table) Report() []Record {
+	if t.size.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	reported := make([]*entry, 0, len(t.records))
+	for _, e := range t.records {
+		if len(e.Crashes) == 0 && now.Sub(e.changed) > clearanceTTL {
+			continue
+		}
+		reported = append(reported, e)
+	}
+	slices.SortFunc(reported, compareRelevance)
+	records := make([]Record, 0, min(len(reported), maxReported))
+	for _, e := range reported[:min(len(reported), maxReported)] {
+		record := e.Record
+		record.Age = now.Sub(e.changed)
+		record.Crashes = slices.Clone(record.Crashes[max(0, len(record.Crashes)-maxReportedCrashes):])
+		records = append(records, record)
+	}
+	return records
+}
+
+// compareRelevance orders causes before other traits, those with more crashes first and,
+// among equals, those that changed last.
+func compareRelevance(a, b *entry) int {
+	if a.cause != b.cause {
+		return boolRank(b.cause) - boolRank(a.cause)
+	}
+	if len(a.Crashes) != len(b.Crashes) {
+		return len(b.Crashes) - len(a.Crashes)
+	}
+	return b.changed.Compare(a.changed)
+}
+
+// update drops expired and surplus records, and finds the causes again.
+func (t *Table) update(now time.Time) {
+	for key, e := range t.records {
+		if now.Sub(e.changed) > recordTTL {
+			delete(t.records, key)
+		}
+	}
+	if surplus := len(t.records) - maxRecords; surplus > 0 {
+		byRelevance := make([]*entry, 0, len(t.records))
+		for _, e := range t.records {
+			byRelevance = append(byRelevance, e)
+		}
+		slices.SortFunc(byRelevance, compareRelevance)
+		for _, e := range byRelevance[maxRecords:] {
+			delete(t.records, e.Key)
+		}
+	}
+	t.size.Store(int64(len(t.records)))
+	t.findCauses(now)
+}
+
+// State returns the records for the diagnostic dump, the most relevant first.
+func (t *Table) State() any {
+	type state struct {
+		Trait
+		Crashes  int    `json:"crashes"`
+		Answered bool   `json:"answered"`
+		Blamed   bool   `json:"blamed"`
+		Age      string `json:"age"`
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	entries := make([]*entry, 0, len(t.records))
+	for _, e := range t.records {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, compareRelevance)
+	states := make([]state, 0, len(entries))
+	for _, e := range entries {
+		states = append(states, state{e.Trait, len(e.Crashes), e.Answered, e.cause, now.Sub(e.changed).Round(time.Millisecond).String()})
+	}
+	return states
+}
--- /dev/null
+++ b/internal/blame/causes.go
@@ -0,0 +1,239 @@
+package blame
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// wholeCrashes and partCrashes are the numbers of crashes, not explained by another
+	// trait, after which a trait is blamed that no request was ever answered with. A
+	// part needs more because more requests are refused for it.
+	wholeCrashes = 2
+	partCrashes  = 3
+	// certainCrashes is the number after which each of several traits is blamed that
+	// were always present together, and the number for a trait that was answered before.
+	certainCrashes = 5
+	// answeredPatience is how long a trait that was answered before must have been
+	// without an answer. In a series of crashes even the most common trait goes without
+	// one until an endpoint is back.
+	answeredPatience = 2 * time.Second
+	// retryInterval is the shortest time after which one request with a blamed trait is
+	// let through, in case the trait was blamed wrongly or no longer crashes endpoints.
+	// answeredRetryInterval is the one for a trait that was answered before.
+	retryInterval         = 10 * time.Minute
+	answeredRetryInterval = 30 * time.Second
+)
+
+// causes are the blamed traits. A request is refused if it has one in single, or all of a
+// group in together.
+type causes struct {
+	single   map[Key]struct{}
+	together [][]Key
+}
+
+// findCauses blames as few traits as explain the crashes. The load that it answers is a
+// series of crashes within seconds, in which most requests run beside the cause.
+// The caller must hold t.mu.
+func (t *Table) findCauses(now time.Time) {
+	candidates := make([]*entry, 0, len(t.records))
+	for _, e := range t.records {
+		if e.suffices(len(e.Crashes), now) {
+			candidates = append(candidates, e)
+		}
+	}
+	found := &causes{single: make(map[Key]struct{})}
+	blamed := make(map[Key]bool)
+	for _, group := range explain(candidates, now) {
+		keys := make([]Key, 0, len(group.entries))
+		for _, e := range group.entries {
+			keys = append(keys, e.Key)
+			blamed[e.Key] = true
+		}
+		if len(keys) > 1 && len(group.crashes) < certainCrashes {
+			found.together = append(found.together, keys)
+			continue
+		}
+		for _, key := range keys {
+			found.single[key] = struct{}{}
+		}
+	}
+	for _, e := range t.records {
+		t.setBlamed(e, blamed[e.Key], now)
+	}
+	if len(blamed) == 0 {
+		t.causes.Store(nil)
+		return
+	}
+	t.causes.Store(found)
+}
+
+func (t *Table) setBlamed(e *entry, blamed bool, now time.Time) {
+	if blamed && !e.cause {
+		e.cause = true
+		e.postponeRetry(now)
+		t.onCause(e.Trait, len(e.Crashes))
+		select {
+		case t.changed <- struct{}{}:
+		default:
+		}
+	}
+	e.cause = blamed
+}
+
+// postponeRetry spreads the retries of several instances, so that the first one is known
+// to the others before they are due.
+func (e *entry) postponeRetry(now time.Time) {
+	interval := retryInterval
+	if e.Answered {
+		interval = answeredRetryInterval
+	}
+	e.retryAt = now.Add(interval + rand.N(interval))
+}
+
+// group holds traits that were present at the same crashes, so that nothing tells them
+// apart.
+type group struct {
+	entries []*entry
+	crashes []CrashKey
+}
+
+// explain returns the groups of traits that explain the crashes.
+func explain(candidates []*entry, now time.Time) []group {
+	var groups []group
+	explained := make(map[CrashKey]bool)
+	for {
+		best, crashes := bestCandidate(candidates, explained, now)
+		if best == nil {
+			return groups
+		}
+		alike := []*entry{best}
+		for _, e := range candidates {
+			if e != best && !best.Answered && !e.Answered && e.suffices(len(crashes), now) && sameCrashes(unexplained(e, explained), crashes) {
+				alike = append(alike, e)
+			}
+		}
+		for _, crash := range crashes {
+			explained[crash] = true
+		}
+		groups = append(groups, group{alike, crashes})
+	}
+}
+
+// bestCandidate returns the trait that explains the most crashes of those that are not
+// explained yet, and these crashes. Traits that were never answered come first.
+func bestCandidate(candidates []*entry, explained map[CrashKey]bool, now time.Time) (*entry, []CrashKey) {
+	var best *entry
+	var bestCrashes []CrashKey
+	for _, e := range candidates {
+		crashes := unexplained(e, explained)
+		if !e.suffices(len(crashes), now) {
+			continue
+		}
+		if best == nil || compareCandidates(e, len(crashes), best, len(bestCrashes)) < 0 {
+			best, bestCrashes = e, crashes
+		}
+	}
+	return best, bestCrashes
+}
+
+func compareCandidates(a *entry, aCrashes int, b *entry, bCrashes int) int {
+	if a.Answered != b.Answered {
+		return boolRank(a.Answered) - boolRank(b.Answered)
+	}
+	return cmp.Or(bCrashes-aCrashes, cmp.Compare(a.Key, b.Key))
+}
+
+// suffices reports whether a number of crashes is enough to blame the trait.
+func (e *entry) suffices(crashes int, now time.Time) bool {
+	switch {
+	case e.Answered:
+		return crashes >= certainCrashes && now.Sub(e.since) >= answeredPatience
+	case e.Whole:
+		return crashes >= wholeCrashes
+	default:
+		return crashes >= partCrashes
+	}
+}
+
+func unexplained(e *entry, explained map[CrashKey]bool) []CrashKey {
+	var crashes []CrashKey
+	for _, crash := range e.Crashes {
+		if !explained[crash] {
+			crashes = append(crashes, crash)
+		}
+	}
+	return crashes
+}
+
+func sameCrashes(a, b []CrashKey) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, crash := range a {
+		if !slices.Contains(b, crash) {
+			return false
+		}
+	}
+	return true
+}
+
+// Verdict says whether a request may be sent to an endpoint.
+type Verdict int
+
+const (
+	// Allowed means that the request has no blamed trait.
+	Allowed Verdict = iota
+	// Refused means that it has one.
+	Refused
+	// Retry means that it has one and is let through once, to see whether it still
+	// crashes endpoints. It must be sent to one endpoint only.
+	Retry
+)
+
+// Check decides on a request. While no trait is blamed it costs one atomic load, and
+// traits is not called.
+func (t *Table) Check(traits func() []Trait) Verdict {
+	found := t.causes.Load()
+	if found == nil {
+		return Allowed
+	}
+	blamed := found.of(traits())
+	if len(blamed) == 0 {
+		return Allowed
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	for _, key := range blamed {
+		if e := t.records[key]; e != nil && now.Before(e.retryAt) {
+			return Refused
+		}
+	}
+	for _, key := range blamed {
+		if e := t.records[key]; e != nil {
+			e.postponeRetry(now)
+		}
+	}
+	return Retry
+}
+
+// of returns the keys of the traits for which a request is refused.
+func (c *causes) of(traits []Trait) []Key {
+	var blamed []Key
+	present := make(map[Key]bool, len(traits))
+	for _, trait := range traits {
+		present[trait.Key] = true
+		if _, is := c.single[trait.Key]; is {
+			blamed = append(blamed, trait.Key)
+		}
+	}
+	for _, group := range c.together {
+		if !slices.ContainsFunc(group, func(key Key) bool { return !present[key] }) {
+			blamed = append(blamed, group...)
+		}
+	}
+	return blamed
+}
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"filbertusher/internal/admin"
+	"filbertusher/internal/blame"
 	"filbertusher/internal/discovery"
 	"filbertusher/internal/dispatch"
 	"filbertusher/internal/drain"
@@ -31,7 +32,6 @@
 	"filbertusher/internal/retrybudget"
 	"filbertusher/internal/roster"
 	"filbertusher/internal/routing"
-	"filbertusher/internal/suspect"
 	"filbertusher/internal/telemetry"
 	"filbertusher/internal/upstream"
 	"filbertusher/internal/wire"
@@ -100,7 +100,7 @@
 	pool          *upstream.Pool
 	quota         *quota.Quota
 	budget        *retrybudget.Budget
-	suspects      *suspect.Table
+	blame         *blame.Table
 	watcher       *discovery.Watcher
 	peering       *peering.Peering
 	gateway       *gateway.Gateway
@@ -173,14 +173,16 @@
 		Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverageFraction, Slack: s.Bounds.QuotaSlack,
 	}, self.Incarnation, s.Bootstrap, time.Now)
 	p.budget = retrybudget.New(retryBudgetLimits(s), time.Now)
-	p.suspects = suspect.NewTable()
+	p.blame = blame.New(time.Now, func(trait blame.Trait, crashes int) {
+		p.log.Warn().Str("label", trait.Label).Bool("whole", trait.Whole).Int("crashes", crashes).Msg("crashCauseFound")
+	})
 	client := platform.NewClient(func() string { return p.settings.Load().StoreAddress })
 	p.watcher = discovery.New(discovery.Options{
 		Directory: platform.NewDirectory(client), Routes: p.routes, Roster: p.roster, Self: self, Log: p.log,
 		OnInstances: p.setInstances, OnEndpointsChanged: p.updateScheduler,
 	})
 	p.peering = peering.New(self, s.SeedAddresses, peering.Dependencies{
-		Routes: p.routes, Roster: p.roster, Scheduler: p.scheduler, Quota: p.quota, Suspects: p.suspects,
+		Routes: p.routes, Roster: p.roster, Scheduler: p.scheduler, Quota: p.quota, Blame: p.blame,
 		Log: p.log, RosterAge: p.watcher.RosterAge, OnEndpointsChanged: p.updateScheduler,
 	})
 	p.recorder = record.NewRecorder(record.RecorderOptions{
@@ -190,7 +192,7 @@
 		MaxRevocationDelay: s.Bounds.MaxRevocationDelay, BodyMemory: s.MemoryLimitBytes / bodyMemoryDivisor,
 	}, gateway.Dependencies{
 		Codec: platform.HeaderCodec{}, Routes: p.routes, Scheduler: p.scheduler, Pool: p.pool,
-		Quota: p.quota, Budget: p.budget, Suspects: p.suspects, Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
+		Quota: p.quota, Budget: p.budget, Blame: p.blame, Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
 	})
 }
 
@@ -256,7 +258,7 @@
 	p.admin.AddSection("gateway", p.gateway.State)
 	p.admin.AddSection("dispatch", p.scheduler.State)
 	p.admin.AddSection("peers", p.peering.State)
-	p.admin.AddSection("suspects", p.suspects.State)
+	p.admin.AddSection("suspects", p.blame.State)
 	p.admin.AddSection("record", p.recorder.State)
 
 	// requestCtx is the context of the requests in flight. A graceful stop cancels it
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"hash"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/quota"
 	"filbertusher/internal/routing"
-	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
 )
 
@@ -37,6 +36,12 @@
 	// the quota and credited to the retry budget.
 	quotaCharged  bool
 	retryCredited bool
+	// knownTraits is the result of traits, which several goroutines call. probesSuspect
+	// is set if the request is let through although it has crashed endpoints; it is sent
+	// only once.
+	traitsOnce    sync.Once
+	knownTraits   []blame.Trait
+	probesSuspect bool
 
 	// responseHash and responseBytes cover the response body, for the decision
 	// record.
@@ -224,39 +229,6 @@
 	return rank
 }
 
-// maxEndpointCrashes is the number of endpoint crashes after which a request is
-// refused.
-const maxEndpointCrashes = 2
-
-// fingerprintHeader returns the input of a suspect fingerprint: workspace, service,
-// method, path and body.
-func (h *requestHandler) fingerprintHeader() *usher.RequestHeader {
-	hash := sha256.New()
-	_, _ = io.WriteString(hash, h.request.Method+" "+h.request.RequestURI+"\n")
-	_, _ = hash.Write(h.body)
-	header := &usher.RequestHeader{Service: h.service, Digest: usher.Digest(hex.EncodeToString(hash.Sum(nil)))}
-	if h.workspace != nil {
-		header.Workspace = h.workspace.Name
-	}
-	return header
-}
-
-func (h *requestHandler) checkSuspect() *usher.Refusal {
-	crashes := h.gateway.Suspects.Crashes(func() suspect.Fingerprint { return suspect.FingerprintOf(h.fingerprintHeader()) })
-	if crashes < maxEndpointCrashes {
-		return nil
-	}
-	h.gateway.metrics.suspected.Add(1)
-	// The refusal states only that the request was not run. That it would crash
-	// an endpoint again is likely but not certain, so the caller may retry.
-	refusal := usher.NewRefusal(usher.RefusalCrashSuspect, "requests like this one have crashed endpoints")
-	return refusal.WithRetryAfter(suspectRetryAfter)
-}
-
-// suspectRetryAfter is the Retry-After value for requests that have crashed
-// endpoints.
-const suspectRetryAfter = 5 * time.Second
-
 // checkQuota refuses the request if the workspace's quota does not allow it. If
 // charge is set, an allowed request is counted against the quota.
 func (h *requestHandler) checkQuota(charge bool) *usher.Refusal {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
 	"strings"
 	"time"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/dispatch"
 	"filbertusher/pkg/usher"
 )
@@ -24,31 +29,87 @@
 	maxLoggedPartBytes = 32
 )
 
-// detectCrash is called when the connection broke while a request ran. It counts a
+// reportLost is called when the connection broke while a request ran. It counts a
 // crash only if the endpoint no longer accepts connections, because connections
 // also break for reasons unrelated to the request.
-func (h *requestHandler) detectCrash(grant *dispatch.Grant, progress responseProgress) {
+//
+// A request with a part that was never answered may be the cause. Then reportLost returns
+// only after the crash is recorded, so that the request is not retried before.
+func (h *requestHandler) reportLost(grant *dispatch.Grant, progress responseProgress) {
 	g := h.gateway
-	header := h.fingerprintHeader()
-	sent := h.attemptSent
-	go func() {
-		reachable := g.Pool.Reachable(&grant.Endpoint)
+	traits, sent := h.traits(), h.attemptSent
+	report := func() {
+		crash := blame.CrashOf(&grant.Endpoint)
+		crashed := g.Blame.HasCrash(crash) || !g.Pool.Reachable(&grant.Endpoint)
 		g.metrics.lost.Add(string(progress), 1)
-		if !reachable {
+		if crashed {
 			g.metrics.crashed.Add(string(progress), 1)
+			g.Blame.RecordCrash(traits, crash)
 		}
 		if g.logLimiter.allow() {
 			g.Log.Warn().Str("request", string(h.headers.ID)).Str("endpoint", string(grant.Endpoint.Name)).
-				Str("progress", string(progress)).Bool("reachable", reachable).Dur("after", time.Since(sent)).
+				Str("progress", string(progress)).Bool("crashed", crashed).Dur("after", time.Since(sent)).
 				Str("parts", logParts(h.headers.Prefix)).Msg("attemptLost")
 		}
-		if reachable || progress != progressNone {
-			return
-		}
-		crashes := g.Suspects.RecordCrash(header)
-		g.Log.Warn().Str("request", string(h.headers.ID)).Str("endpoint", string(grant.Endpoint.Name)).
-			Dur("after", time.Since(sent)).Int("crashes", crashes).Msg("endpointCrashed")
-	}()
+	}
+	if g.Blame.Answered(blame.SharedParts(h.headers.Prefix)) {
+		go report()
+		return
+	}
+	report()
+}
+
+// traits returns what the request may have in common with others that crash endpoints.
+func (h *requestHandler) traits() []blame.Trait {
+	h.traitsOnce.Do(func() {
+		h.knownTraits = append([]blame.Trait{h.wholeTrait()}, blame.SharedParts(h.headers.Prefix)...)
+	})
+	return h.knownTraits
+}
+
+// wholeTrait stands for workspace, service, method, path and body.
+func (h *requestHandler) wholeTrait() blame.Trait {
+	hash := sha256.New()
+	_, _ = io.WriteString(hash, h.request.Method+" "+h.request.RequestURI+"\n")
+	_, _ = hash.Write(h.body)
+	workspace := usher.WorkspaceName("")
+	if h.workspace != nil {
+		workspace = h.workspace.Name
+	}
+	return blame.WholeRequest(workspace, h.service, usher.Digest(hex.EncodeToString(hash.Sum(nil))))
+}
+
+// suspectRetryAfter is the Retry-After value for requests that have crashed
+// endpoints.
+const suspectRetryAfter = 5 * time.Second
+
+// checkSuspect refuses the request if it has crashed endpoints, or has a part in common
+// with requests that have.
+func (h *requestHandler) checkSuspect() *usher.Refusal {
+	if h.probesSuspect {
+		return nil
+	}
+	switch h.gateway.Blame.Check(h.traits) {
+	case blame.Allowed:
+		return nil
+	case blame.Retry:
+		h.probesSuspect = true
+		return nil
+	case blame.Refused:
+	}
+	h.gateway.metrics.suspected.Add(1)
+	// The refusal states only that the request was not run. That it would crash
+	// an endpoint again is likely but not certain, so the caller may retry.
+	refusal := usher.NewRefusal(usher.RefusalCrashSuspect, "requests like this one have crashed endpoints")
+	return refusal.WithRetryAfter(suspectRetryAfter)
+}
+
+// reportAnswer clears what the request has in common with requests that were lost in
+// crashes.
+func (h *requestHandler) reportAnswer(status int) {
+	if status >= http.StatusOK && status < http.StatusMultipleChoices {
+		h.gateway.Blame.RecordAnswer(blame.SharedParts(h.headers.Prefix), h.wholeTrait)
+	}
 }
 
 // logParts returns the IDs of a prompt's parts, without the last one, which no other
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,7 +5,7 @@
 // A request passes through accept.go (validation), run.go (dispatch and retries),
 // response.go or stream.go (buffered and streamed responses) and, if it is not
 // answered, refuse.go. monitor.go moves a request away from an endpoint that has
-// gone silent, and crash.go detects that an endpoint crashed. report.go and record.go
+// gone silent, and crash.go detects that an endpoint crashed and refuses what crashes it. report.go and record.go
 // log and record the outcome.
 package gateway
 
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/semaphore"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/dispatch"
 	"filbertusher/internal/drain"
 	"filbertusher/internal/pause"
@@ -26,7 +27,6 @@
 	"filbertusher/internal/record"
 	"filbertusher/internal/retrybudget"
 	"filbertusher/internal/routing"
-	"filbertusher/internal/suspect"
 	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
 )
@@ -39,7 +39,7 @@
 	Pool      *upstream.Pool
 	Quota     *quota.Quota
 	Budget    *retrybudget.Budget
-	Suspects  *suspect.Table
+	Blame     *blame.Table
 	Recorder  usher.Recorder
 	IDs       record.IDSource
 	Log       zerolog.Logger
--- a/internal/gateway/monitor.go
+++ b/internal/gateway/monitor.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/dispatch"
 	"filbertusher/internal/routing"
 	"filbertusher/pkg/usher"
@@ -86,6 +87,9 @@
 // request for the same service. A stream whose credential was revoked after it
 // began may finish at its endpoint; moving it would cut it.
 func (h *requestHandler) stillPermitted() bool {
+	if h.gateway.Blame.Check(h.traits) != blame.Allowed {
+		return false
+	}
 	index := h.gateway.Routes.Index()
 	route := index.Route(h.request.Host, h.request.URL.EscapedPath())
 	if route == nil || !routing.RoutesTo(route, h.service) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		grant.End(cancelledOr(ctx, dispatch.Failed))
 		if ctx.Err() == nil {
-			h.detectCrash(grant, progressHeader)
+			h.reportLost(grant, progressHeader)
 		}
 		return attemptResult{outcome: lost, cause: err}
 	}
@@ -54,6 +54,7 @@
 		return attemptResult{outcome: failed, response: buffered}
 	}
 	grant.End(dispatch.Answered)
+	h.reportAnswer(response.Status)
 	h.deliver(buffered)
 	return attemptResult{outcome: delivered}
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -121,6 +121,9 @@
 	if time.Until(h.deadline) < minRemainingTime {
 		return usher.NewRefusal(usher.RefusalOverloaded, "too little time is left")
 	}
+	if refusal := h.checkSuspect(); refusal != nil {
+		return refusal
+	}
 	return h.checkQuota(true)
 }
 
@@ -171,7 +174,7 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var fallback *dispatch.Request
-	if h.route.Idempotent() && h.attempts < h.route.MaxAttempts {
+	if h.route.Idempotent() && h.attempts < h.route.MaxAttempts && !h.probesSuspect {
 		fallback = h.dispatchRequest(tried, true)
 	}
 	monitor := h.monitorAttempt(&grant.Endpoint, fallback, cancel)
@@ -223,7 +226,7 @@
 		return attemptResult{outcome: lost, cause: err}
 	}
 	grant.End(dispatch.Failed)
-	h.detectCrash(grant, progressNone)
+	h.reportLost(grant, progressNone)
 	return attemptResult{outcome: lost, cause: err}
 }
 
@@ -266,7 +269,7 @@
 	if h.attempts >= h.route.MaxAttempts {
 		return false
 	}
-	if h.checkSuspect() != nil {
+	if h.probesSuspect || h.checkSuspect() != nil {
 		return false
 	}
 	if !h.gateway.Budget.TrySpend(h.service) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,11 +52,12 @@
 	if !errors.Is(err, io.EOF) {
 		grant.End(cancelledOr(ctx, dispatch.Failed))
 		if ctx.Err() == nil {
-			h.detectCrash(grant, streamProgress(h.eventCount-eventsBefore))
+			h.reportLost(grant, streamProgress(h.eventCount-eventsBefore))
 		}
 		return attemptResult{outcome: lost, cause: err}
 	}
 	grant.End(dispatch.Answered)
+	h.reportAnswer(response.Status)
 	if !s.started {
 		// A stream without events is a valid response.
 		s.writeHeader(response)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -1,6 +1,6 @@
 // Package peering exchanges state between the gateway instances that none of
 // them can observe alone: the requests in flight at the endpoints, the demand of
-// workspaces, which requests crash endpoints, and how recent the configuration
+// workspaces, what crashes endpoints, and how recent the configuration
 // is. The exchange improves decisions or allows them to continue while the store
 // is unavailable; without it an instance falls back to an equal share of the
 // limits.
@@ -14,13 +14,13 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/boottime"
 	"filbertusher/internal/dispatch"
 	"filbertusher/internal/peerrpc"
 	"filbertusher/internal/quota"
 	"filbertusher/internal/roster"
 	"filbertusher/internal/routing"
-	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
 )
 
@@ -66,7 +66,7 @@
 	Members  int
 	Dispatch dispatch.Report
 	Quota    quota.Report
-	Suspects []suspect.CrashRecord
+	Blame    []blame.Record
 }
 
 // Dependencies are the components whose state is exchanged.
@@ -75,7 +75,7 @@
 	Roster    *roster.Roster
 	Scheduler *dispatch.Scheduler
 	Quota     *quota.Quota
-	Suspects  *suspect.Table
+	Blame     *blame.Table
 	Log       zerolog.Logger
 	// RosterAge returns the time since the store last confirmed the roster.
 	RosterAge func() time.Duration
@@ -214,7 +214,7 @@
 		Name:    p.self.Name, Incarnation: p.self.Incarnation, Address: p.self.Address,
 		Version: p.deps.Routes.Version(), ProofAge: p.deps.Routes.Age(),
 		RosterRevision: p.deps.Roster.Snapshot().Revision,
-		Dispatch:       p.deps.Scheduler.Report(), Quota: p.deps.Quota.Report(peerLearning), Suspects: p.deps.Suspects.Recent(),
+		Dispatch:       p.deps.Scheduler.Report(), Quota: p.deps.Quota.Report(peerLearning), Blame: p.deps.Blame.Report(),
 	}
 }
 
@@ -223,7 +223,7 @@
 func (p *Peering) merge(report *Report) {
 	p.deps.Quota.Merge(report.Name, report.Quota)
 	p.deps.Scheduler.ApplyReport(report.Name, report.Dispatch)
-	p.deps.Suspects.Merge(report.Suspects)
+	p.deps.Blame.Merge(report.Blame)
 }
 
 func (p *Peering) markReachable(remote *peer) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -92,7 +92,7 @@
 // Response is a response whose header was read and whose body was not. Metadata
 // is decoded from the header. The caller must call Close.
 //
-// reusable is set if the connection can serve another request afterwards.
+// reusable is set if the connection can serve another request after a framed body.
 // writeResult receives the result of writing the request. stop unregisters the
 // function that closes the connection when the context of Send is done, and returns
 // false if that function has already started.
@@ -109,6 +109,7 @@
 	conn        *conn
 	body        io.ReadCloser
 	reusable    bool
+	framed      bool
 	writeResult <-chan error
 	stop        func() bool
 	pool        *Pool
@@ -202,7 +203,7 @@
 		return &Response{
 			Status: response.StatusCode, Header: response.Header, Metadata: metadata,
 			Length: response.ContentLength, Body: response.Body, body: response.Body,
-			conn: c, writeResult: writeResult, reusable: reusable && !response.Close && hasFraming(response),
+			conn: c, writeResult: writeResult, reusable: reusable && !response.Close, framed: hasFraming(response),
 		}, nil
 	}
 }
@@ -246,6 +247,10 @@
 	return err
 }
 
+// Framed reports whether the end of the body shows that it is complete. The body of a
+// response without a length or chunks ends with its connection.
+func (r *Response) Framed() bool { return r.framed }
+
 // Reused reports whether the connection had served a request before.
 func (r *Response) Reused() bool { return r.conn.served > 0 }
 
@@ -255,7 +260,7 @@
 func (r *Response) Close(complete bool) {
 	r.closeOnce.Do(func() {
 		stopped := r.stop()
-		reusable := complete && stopped && r.reusable && r.conn.reader.Buffered() == 0
+		reusable := complete && stopped && r.reusable && r.framed && r.conn.reader.Buffered() == 0
 		if reusable {
 			select {
 			case err := <-r.writeResult:
