Don't take the end of a crashed endpoint's connection for the end of an answer

Callers got an empty stream with status 200 when an engine ended after the header of an answer that has neither a length nor chunks, and the crash was not counted: the end of such a body looks like that of any connection.

The gateway now asks whether the endpoint still accepts connections before it takes such an answer for complete. If not, the attempt is lost: a stream goes on elsewhere, and the crash counts. Other answers are not asked about.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -10,6 +10,7 @@
 
 	"filbertusher/internal/blame"
 	"filbertusher/internal/dispatch"
+	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
 )
 
@@ -112,6 +113,12 @@
 	}
 }
 
+// endedByCrash reports whether an answer without a length or chunks may be incomplete:
+// its end looks like that of any connection, also of one whose endpoint has crashed.
+func (h *requestHandler) endedByCrash(grant *dispatch.Grant, response *upstream.Response) bool {
+	return !response.Framed() && !h.gateway.Pool.Reachable(&grant.Endpoint)
+}
+
 // logParts returns the IDs of a prompt's parts, without the last one, which no other
 // request shares.
 func logParts(parts []usher.PromptPart) string {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -37,6 +37,9 @@
 	body, reserved, err := h.gateway.readBody(response.Body)
 	h.reservedBytes += reserved
 	response.Close(err == nil)
+	if err == nil && h.endedByCrash(grant, response) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		grant.End(cancelledOr(ctx, dispatch.Failed))
 		if ctx.Err() == nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,6 +49,9 @@
 		h.outcome, h.detail = usher.OutcomeUnknown, "the caller stopped to read"
 		panic(http.ErrAbortHandler)
 	}
+	if errors.Is(err, io.EOF) && h.endedByCrash(grant, response) {
+		err = io.ErrUnexpectedEOF
+	}
 	if !errors.Is(err, io.EOF) {
 		grant.End(cancelledOr(ctx, dispatch.Failed))
 		if ctx.Err() == nil {
--- a/test/gateway/crash_part_test.go
+++ b/test/gateway/crash_part_test.go
@@ -198,3 +198,31 @@
 		})
 	}
 }
+
+// An answer without a length that ends with a crash is not delivered as complete.
+func TestUnframedAnswerOfCrashedReplica(t *testing.T) {
+	c := newCluster(t)
+	crashing, sound := newReplica(t, "m1", "model", 4, 5), newReplica(t, "m2", "model", 4, 5)
+	crashing.crashPart, crashing.unframed, sound.unframed = crashPart, true, true
+	for _, r := range []*replica{crashing, sound} {
+		r.processingTime = 50 * time.Millisecond
+		c.register(r, "ready")
+	}
+	g := c.startGateway("g1")
+	c.awaitServed(g, "/plan/a")
+	var requests sync.WaitGroup
+	// Neither replica has slots for all.
+	for i := range 7 {
+		requests.Go(func() {
+			id := fmt.Sprint("p", i)
+			got := g.call(t.Context(), http.MethodPost, "/plan/"+id, id, "X-Filbertusher-Prompt-Prefix", "s:60,"+crashPart+":500,"+id+":90")
+			if got.status == http.StatusOK && got.body != sound.completeStream(id) {
+				t.Errorf("the stream of a crashed replica was delivered as %q, %v", got.body, got.err)
+			}
+		})
+	}
+	requests.Wait()
+	if crashing.listens() {
+		t.Error("no request reached the replica that crashes")
+	}
+}
