Store what crashes endpoints, so that it survives a restart of all gateways

Gateways now read the object suspects/gateways at the start, write the traits that they blame and the clearances of stored ones, and read it every 20 s only while something is blamed, for the clearances of operators. 'suspects list' and 'suspects clear' cover it.

Two parts that were always present together are blamed one by one only after 10 crashes: with 5, the test refused a sound part that no request had been answered with before the restart.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -137,7 +137,7 @@
 	causes atomic.Pointer[causes]
 	// size is the number of records.
 	size atomic.Int64
-	// changed is signalled when another trait is blamed.
+	// changed is signalled when a trait is blamed and when it is cleared.
 	changed chan struct{}
 }
 
@@ -221,7 +221,7 @@
 	for _, trait := range append(slices.Clone(parts), whole()) {
 		if e := t.records[trait.Key]; e != nil && len(e.Crashes) > 0 {
 			e.Generation++
-			e.clear(now)
+			t.clear(e, now)
 			changed = true
 		}
 	}
@@ -230,10 +230,20 @@
 	}
 }
 
-func (e *entry) clear(now time.Time) {
+func (t *Table) clear(e *entry, now time.Time) {
+	if e.cause {
+		t.signalChange()
+	}
 	e.Answered, e.Crashes, e.changed, e.cause = true, nil, now, false
 }
 
+func (t *Table) signalChange() {
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Answered reports whether requests with each of these traits were answered before, as
 // far as this instance knows.
 func (t *Table) Answered(traits []Trait) bool {
@@ -298,7 +308,7 @@
 	}
 	if record.Generation > e.Generation {
 		e.Generation = record.Generation
-		e.clear(changedAt)
+		t.clear(e, changedAt)
 		changed = true
 	}
 	var added []CrashKey
--- a/internal/blame/causes.go
+++ b/internal/blame/causes.go
@@ -13,9 +13,12 @@
 	// part needs more because more requests are refused for it.
 	wholeCrashes = 2
 	partCrashes  = 3
-	// certainCrashes is the number after which each of several traits is blamed that
-	// were always present together, and the number for a trait that was answered before.
-	certainCrashes = 5
+	// answeredCrashes is the number for a trait that was answered before.
+	answeredCrashes = 5
+	// apartCrashes is the number after which traits that were always present at the same
+	// crashes are blamed one by one. If one request had them all, refusing the requests
+	// that have them all would have ended the crashes before.
+	apartCrashes = 10
 	// answeredPatience is how long a trait that was answered before must have been
 	// without an answer. In a series of crashes even the most common trait goes without
 	// one until an endpoint is back.
@@ -52,7 +55,7 @@
 			keys = append(keys, e.Key)
 			blamed[e.Key] = true
 		}
-		if len(keys) > 1 && len(group.crashes) < certainCrashes {
+		if len(keys) > 1 && len(group.crashes) < apartCrashes {
 			found.together = append(found.together, keys)
 			continue
 		}
@@ -75,10 +78,7 @@
 		e.cause = true
 		e.postponeRetry(now)
 		t.onCause(e.Trait, len(e.Crashes))
-		select {
-		case t.changed <- struct{}{}:
-		default:
-		}
+		t.signalChange()
 	}
 	e.cause = blamed
 }
@@ -150,7 +150,7 @@
 func (e *entry) suffices(crashes int, now time.Time) bool {
 	switch {
 	case e.Answered:
-		return crashes >= certainCrashes && now.Sub(e.since) >= answeredPatience
+		return crashes >= answeredCrashes && now.Sub(e.since) >= answeredPatience
 	case e.Whole:
 		return crashes >= wholeCrashes
 	default:
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -105,6 +105,7 @@
 	peering       *peering.Peering
 	gateway       *gateway.Gateway
 	recorder      *record.Recorder
+	store         usher.Store
 }
 
 // noPeers implements record.Peers for gateways, whose decisions no other process
@@ -177,6 +178,7 @@
 		p.log.Warn().Str("label", trait.Label).Bool("whole", trait.Whole).Int("crashes", crashes).Msg("crashCauseFound")
 	})
 	client := platform.NewClient(func() string { return p.settings.Load().StoreAddress })
+	p.store = client
 	p.watcher = discovery.New(discovery.Options{
 		Directory: platform.NewDirectory(client), Routes: p.routes, Roster: p.roster, Self: self, Log: p.log,
 		OnInstances: p.setInstances, OnEndpointsChanged: p.updateScheduler,
@@ -275,6 +277,7 @@
 	group.Go(func() error { return p.admin.Serve(ctx) })
 	group.Go(func() error { return p.watcher.Run(ctx) })
 	group.Go(func() error { return p.recorder.Run(ctx, noPeers{}) })
+	group.Go(func() error { p.blame.Sync(ctx, p.store, p.log); return nil })
 	group.Go(func() error { p.contactSeeds(ctx); return nil })
 	group.Go(func() error { pause.Every(ctx, poolSweepInterval, p.closeStaleConnections); return nil })
 	group.Go(func() error { p.watchSettings(ctx); return nil })
--- a/internal/command/suspects.go
+++ b/internal/command/suspects.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"text/tabwriter"
 	"time"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
 	"filbertusher/platform"
@@ -25,11 +27,19 @@
 	var store string
 	command.Settings.Address(&store, "store", "", true, "the address of the platform's object API")
 	command.Run = func(ctx context.Context, out, _ io.Writer) error {
-		suspects, err := suspect.List(ctx, platform.NewClientAt(store))
+		client := platform.NewClientAt(store)
+		suspects, err := suspect.List(ctx, client)
 		if err != nil {
 			return err
 		}
-		return printSuspects(out, suspects)
+		causes, _, err := blame.List(ctx, client)
+		if err != nil {
+			return err
+		}
+		if err := printSuspects(out, suspects); err != nil || len(causes) == 0 {
+			return err
+		}
+		return printCauses(out, causes)
 	}
 	return command
 }
@@ -46,13 +56,52 @@
 	return table.Flush()
 }
 
+// clearSuspects clears a fingerprint or the key of a crash cause, or all of both if it is
+// empty.
+func clearSuspects(ctx context.Context, store usher.Store, fingerprint string) (int, error) {
+	suspects, err := suspect.Clear(ctx, store, suspect.Fingerprint(fingerprint))
+	unknown := new(suspect.UnknownFingerprintError)
+	if err != nil && !errors.As(err, &unknown) {
+		return 0, err
+	}
+	unknownFingerprint := err
+	causes, err := blame.Clear(ctx, store, fingerprint)
+	unknownKey := new(blame.UnknownKeyError)
+	switch {
+	case errors.As(err, &unknownKey):
+		return suspects, unknownFingerprint
+	case err != nil:
+		return suspects, err
+	default:
+		return suspects + causes, nil
+	}
+}
+
+// printCauses prints what gateways refuse because it crashes endpoints, without what was
+// cleared.
+func printCauses(out io.Writer, causes []blame.StoredRecord) error {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "KEY\tCRASHES\tKIND\tLABEL\tSEEN")
+	for _, cause := range causes {
+		kind := "part"
+		if cause.Whole {
+			kind = "request"
+		}
+		if len(cause.Crashes) > 0 {
+			fmt.Fprintf(table, "%s\t%d\t%s\t%q\t%s\n", cause.Key, len(cause.Crashes), kind, cause.Label, cause.Seen.UTC().Format(time.RFC3339))
+		}
+	}
+	return table.Flush()
+}
+
 func newSuspectsClearCommand() *Command {
 	command := New("clear", "let suspected requests run again; it takes up to 20 s to reach all processes")
 	var store, fingerprint string
 	command.Settings.Address(&store, "store", "", true, "the address of the platform's object API")
-	command.Settings.String(&fingerprint, "fingerprint", "", false, "the fingerprint to clear; all if it is empty")
+	command.Settings.String(&fingerprint, "fingerprint", "", false, "the fingerprint or key to clear; all if it is empty")
 	command.Run = func(ctx context.Context, out, _ io.Writer) error {
-		cleared, err := suspect.Clear(ctx, usher.Store(platform.NewClientAt(store)), suspect.Fingerprint(fingerprint))
+		client := platform.NewClientAt(store)
+		cleared, err := clearSuspects(ctx, client, fingerprint)
 		if err != nil {
 			return err
 		}
--- a/test/gateway/crash_part_test.go
+++ b/test/gateway/crash_part_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -226,3 +227,48 @@
 		t.Error("no request reached the replica that crashes")
 	}
 }
+
+// A blamed part stays refused after all gateways were killed at once.
+func TestBlameSurvivesRestartOfAllGateways(t *testing.T) {
+	c := newCluster(t)
+	e := startEngines(c, 6, false)
+	gateways := []*gateway{c.startGateway("g1"), c.startGateway("g2")}
+	ctx, stop := context.WithCancel(t.Context())
+	var replacing sync.WaitGroup
+	replacing.Go(func() { e.replaceCrashed(ctx) })
+	defer replacing.Wait()
+	defer stop()
+	refused := func(g *gateway) bool {
+		id := fmt.Sprint("p", time.Now().UnixNano())
+		return strings.Contains(e.send(g, id, "s:60,"+crashPart+":500,"+id+":90").body, "crashedEndpoints")
+	}
+	for _, g := range gateways {
+		c.eventually("the part is refused", func() bool { return refused(g) })
+	}
+	c.eventually("the blame is stored", func() bool {
+		_, stored := c.memory.Get("suspects/gateways")
+		return stored
+	})
+	for _, g := range gateways {
+		g.Process.Kill()
+	}
+	restarted := time.Now()
+	for _, g := range gateways {
+		c.start(g)
+	}
+	for i, g := range gateways {
+		c.eventually("an engine serves", func() bool {
+			return e.send(g, fmt.Sprint("first", i, time.Now().UnixNano()), "s:60,own:90").status == http.StatusOK
+		})
+	}
+	for range 5 {
+		for _, g := range gateways {
+			if !refused(g) {
+				t.Error("a request with the part was not refused after the restart")
+			}
+		}
+	}
+	if n := e.crashPartRequestsAfter(restarted); n > 0 {
+		t.Errorf("%d requests with the part reached replicas after the restart", n)
+	}
+}
