Refuse prompts that begin like those that crashed engines, at entries too

Companions did count crashes in the middle of an answer.

Companions record a crash, and an answer, for each leading block of the prompt, and report them with every reply; entries refuse by them, and both read and write the stored causes. One request that is let through in spite of it runs alone.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -1,6 +1,7 @@
 // Package blame finds out which content of requests crashes endpoints, so that requests
-// with it are refused. Only gateway instances use it; companions run suspects alone
-// instead (package suspect).
+// with it are refused. Gateway instances use it for all requests; entries and companions
+// use it for the beginnings of prompts, and package suspect for whole requests, which
+// companions run alone.
 //
 // A request has several traits: its whole content, and each part of its prompt that
 // other requests may share. A crash is recorded for every trait of all requests that
@@ -74,9 +75,21 @@
 	return traits
 }
 
-// CrashOf returns the key of the crash of an endpoint.
-func CrashOf(endpoint *usher.Registration) CrashKey {
-	return CrashKey(digestOf("crash", string(endpoint.Name), strconv.FormatInt(endpoint.Born, 10), endpoint.Address))
+// Beginnings returns the traits that stand for the beginnings of a prompt. Each hash
+// covers one more block of it (usher.RequestHeader.Prefix).
+func Beginnings(hashes []uint64) []Trait {
+	traits := make([]Trait, 0, len(hashes))
+	for _, hash := range hashes {
+		text := strconv.FormatUint(hash, 16)
+		traits = append(traits, Trait{Key: Key(digestOf("beginning", text)), Label: text})
+	}
+	return traits
+}
+
+// CrashOf returns the key of the crash of an endpoint. run distinguishes this run of the
+// endpoint from its earlier and later ones.
+func CrashOf(endpoint usher.EndpointName, run string) CrashKey {
+	return CrashKey(digestOf("crash", string(endpoint), run))
 }
 
 func digestOf(fields ...string) uint64 {
@@ -135,8 +148,9 @@
 	answered *keySet
 	// causes is nil while no trait is blamed, which is nearly always.
 	causes atomic.Pointer[causes]
-	// size is the number of records.
-	size atomic.Int64
+	// reported holds copies of the records for Report, and size is the number of records.
+	reported atomic.Pointer[[]entry]
+	size     atomic.Int64
 	// changed is signalled when a trait is blamed and when it is cleared.
 	changed chan struct{}
 }
@@ -144,7 +158,9 @@
 // New returns an empty table. onCause is called, with the number of crashes, when a
 // trait is blamed for the first time.
 func New(now func() time.Time, onCause func(trait Trait, crashes int)) *Table {
-	return &Table{now: now, onCause: onCause, records: make(map[Key]*entry), answered: newKeySet(), changed: make(chan struct{}, 1)}
+	t := &Table{now: now, onCause: onCause, records: make(map[Key]*entry), answered: newKeySet(), changed: make(chan struct{}, 1)}
+	t.reported.Store(&[]entry{})
+	return t
 }
 
 // RecordCrash records that an endpoint crashed while it ran a request with these traits.
@@ -203,7 +219,9 @@
 	}
 }
 
-// RecordAnswer records that a request with these traits was answered completely.
+// RecordAnswer records that a request with these parts was answered completely. whole
+// returns the trait of the whole request; it may be nil, and is called only while there
+// are records.
 func (t *Table) RecordAnswer(parts []Trait, whole func() Trait) {
 	if len(parts) == 0 && t.size.Load() == 0 {
 		return
@@ -216,9 +234,13 @@
 	if len(t.records) == 0 {
 		return
 	}
+	cleared := parts
+	if whole != nil {
+		cleared = append(slices.Clone(parts), whole())
+	}
 	now := t.now()
 	changed := false
-	for _, trait := range append(slices.Clone(parts), whole()) {
+	for _, trait := range cleared {
 		if e := t.records[trait.Key]; e != nil && len(e.Crashes) > 0 {
 			e.Generation++
 			t.clear(e, now)
@@ -336,30 +358,43 @@
 // Report returns the records for a report to other instances: the causes first, then the
 // traits that may be causes, then recent clearances.
 func (t *Table) Report() []Record {
-	if t.size.Load() == 0 {
+	reported := *t.reported.Load()
+	if len(reported) == 0 {
 		return nil
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	now := t.now()
-	reported := make([]*entry, 0, len(t.records))
-	for _, e := range t.records {
-		if len(e.Crashes) == 0 && now.Sub(e.changed) > clearanceTTL {
-			continue
+	records := make([]Record, 0, len(reported))
+	for _, e := range reported {
+		e.Age = now.Sub(e.changed)
+		if len(e.Crashes) > 0 || e.Age <= clearanceTTL {
+			records = append(records, e.Record)
 		}
-		reported = append(reported, e)
-	}
-	slices.SortFunc(reported, compareRelevance)
-	records := make([]Record, 0, min(len(reported), maxReported))
-	for _, e := range reported[:min(len(reported), maxReported)] {
-		record := e.Record
-		record.Age = now.Sub(e.changed)
-		record.Crashes = slices.Clone(record.Crashes[max(0, len(record.Crashes)-maxReportedCrashes):])
-		records = append(records, record)
 	}
 	return records
 }
 
+// updateReport sets the records that Report returns. They are shared with its callers,
+// so they are copies.
+func (t *Table) updateReport() {
+	byRelevance := t.byRelevance()
+	reported := make([]entry, 0, min(len(byRelevance), maxReported))
+	for _, e := range byRelevance[:min(len(byRelevance), maxReported)] {
+		copied := *e
+		copied.Crashes = slices.Clone(e.Crashes[max(0, len(e.Crashes)-maxReportedCrashes):])
+		reported = append(reported, copied)
+	}
+	t.reported.Store(&reported)
+}
+
+func (t *Table) byRelevance() []*entry {
+	entries := make([]*entry, 0, len(t.records))
+	for _, e := range t.records {
+		entries = append(entries, e)
+	}
+	slices.SortFunc(entries, compareRelevance)
+	return entries
+}
+
 // compareRelevance orders causes before other traits, those with more crashes first and,
 // among equals, those that changed last.
 func compareRelevance(a, b *entry) int {
@@ -379,18 +414,14 @@
 			delete(t.records, key)
 		}
 	}
-	if surplus := len(t.records) - maxRecords; surplus > 0 {
-		byRelevance := make([]*entry, 0, len(t.records))
-		for _, e := range t.records {
-			byRelevance = append(byRelevance, e)
-		}
-		slices.SortFunc(byRelevance, compareRelevance)
-		for _, e := range byRelevance[maxRecords:] {
+	if len(t.records) > maxRecords {
+		for _, e := range t.byRelevance()[maxRecords:] {
 			delete(t.records, e.Key)
 		}
 	}
 	t.size.Store(int64(len(t.records)))
 	t.findCauses(now)
+	t.updateReport()
 }
 
 // State returns the records for the diagnostic dump, the most relevant first.
@@ -405,11 +436,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	entries := make([]*entry, 0, len(t.records))
-	for _, e := range t.records {
-		entries = append(entries, e)
-	}
-	slices.SortFunc(entries, compareRelevance)
+	entries := t.byRelevance()
 	states := make([]state, 0, len(entries))
 	for _, e := range entries {
 		states = append(states, state{e.Trait, len(e.Crashes), e.Answered, e.cause, now.Sub(e.changed).Round(time.Millisecond).String()})
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -66,7 +66,7 @@
 		fields := strings.Fields(line)
 		switch fields[0] {
 		case "crash": // crash INSTANCE ENDPOINT REQUEST...
-			crash := blame.CrashOf(&usher.Registration{Name: usher.EndpointName(fields[2])})
+			crash := blame.CrashOf(usher.EndpointName(fields[2]), "")
 			for _, request := range fields[3:] {
 				s.instance(fields[1]).RecordCrash(traits(request), crash)
 			}
@@ -116,8 +116,8 @@
 		drawRequest := func(t *rapid.T) string { return rapid.SampledFrom([]string{"a", "a,b", "b#2", "c"}).Draw(t, "request") }
 		t.Repeat(map[string]func(*rapid.T){
 			"crash": func(t *rapid.T) {
-				endpoint := usher.Registration{Name: usher.EndpointName(rapid.StringN(1, 1, 1).Draw(t, "endpoint"))}
-				drawTable(t).RecordCrash(traits(drawRequest(t)), blame.CrashOf(&endpoint))
+				endpoint := usher.EndpointName(rapid.StringN(1, 1, 1).Draw(t, "endpoint"))
+				drawTable(t).RecordCrash(traits(drawRequest(t)), blame.CrashOf(endpoint, ""))
 			},
 			"answer": func(t *rapid.T) {
 				request := drawRequest(t)
@@ -150,7 +150,7 @@
 func TestHostileRequestsAreBounded(t *testing.T) {
 	table := blame.New(time.Now, func(blame.Trait, int) {})
 	for crash := range 100 {
-		key := blame.CrashOf(&usher.Registration{Name: usher.EndpointName(fmt.Sprint("e", crash))})
+		key := blame.CrashOf(usher.EndpointName(fmt.Sprint("e", crash)), "")
 		for request := range 15 {
 			prompt := []usher.PromptPart{{ID: "poison"}}
 			for part := range 100 {
--- a/internal/blame/sync.go
+++ b/internal/blame/sync.go
@@ -15,11 +15,11 @@
 )
 
 // ObjectKey is the key of the stored object that holds the blamed traits, so that they
-// survive a restart of all instances.
-const ObjectKey usher.ObjectKey = "suspects/gateways"
+// survive a restart of all processes.
+const ObjectKey usher.ObjectKey = "suspects/causes"
 
 const (
-	// syncInterval is how often an instance reads the object while a trait is blamed. It
+	// syncInterval is how often a process reads the object while it blames a trait. It
 	// bounds the time until a clearance by an operator is known everywhere.
 	syncInterval = 20 * time.Second
 	// syncRetryInterval is the pause after a failed call.
@@ -117,10 +117,20 @@
 	return err
 }
 
-// Sync merges the stored records into the table at the start and, while a trait is
-// blamed, regularly, and stores the traits that this instance blames, until ctx ends. A
-// write whose response was lost is repeated without harm, because merging is idempotent.
-func (t *Table) Sync(ctx context.Context, store usher.Store, log zerolog.Logger) {
+// Reading says how often Sync reads the stored records while the table blames no trait.
+type Reading bool
+
+const (
+	// ReadOnce is for processes that learn from each other what the others blame.
+	ReadOnce Reading = false
+	// ReadRegularly is for processes that learn it from the store only.
+	ReadRegularly Reading = true
+)
+
+// Sync merges the stored records into the table at the start and regularly, and stores
+// the traits that this process blames, until ctx ends. A write whose response was lost is
+// repeated without harm, because merging is idempotent.
+func (t *Table) Sync(ctx context.Context, store usher.Store, reading Reading, log zerolog.Logger) {
 	for ctx.Err() == nil {
 		err := t.syncOnce(ctx, store)
 		if err != nil && ctx.Err() == nil {
@@ -128,7 +138,7 @@
 		}
 		malformed := new(MalformedError)
 		select {
-		case <-t.nextSync(err != nil && !errors.As(err, &malformed)):
+		case <-t.nextSync(reading, err != nil && !errors.As(err, &malformed)):
 		case <-t.changed:
 			sleep(ctx, rand.N(maxWriteDelay))
 		case <-ctx.Done():
@@ -138,11 +148,11 @@
 
 // nextSync returns a channel that receives when the object is to be read again, or nil
 // if only a change requires it.
-func (t *Table) nextSync(failed bool) <-chan time.Time {
+func (t *Table) nextSync(reading Reading, failed bool) <-chan time.Time {
 	switch {
 	case failed:
 		return time.After(syncRetryInterval + rand.N(syncRetryInterval))
-	case t.causes.Load() != nil:
+	case reading == ReadRegularly || t.causes.Load() != nil:
 		return time.After(syncInterval)
 	default:
 		return nil
--- a/internal/blame/sync_test.go
+++ b/internal/blame/sync_test.go
@@ -23,12 +23,12 @@
 	client := platform.NewClientAt(server.Listener.Addr().String())
 	start := func() *blame.Table {
 		table := blame.New(time.Now, func(blame.Trait, int) {})
-		go table.Sync(t.Context(), client, zerolog.Nop())
+		go table.Sync(t.Context(), client, blame.ReadOnce, zerolog.Nop())
 		return table
 	}
 	first := start()
 	for _, endpoint := range []usher.EndpointName{"e1", "e2", "e3"} {
-		first.RecordCrash(traits("p#"+string(endpoint)), blame.CrashOf(&usher.Registration{Name: endpoint}))
+		first.RecordCrash(traits("p#"+string(endpoint)), blame.CrashOf(endpoint, ""))
 	}
 	await(t, "the cause is stored", func() bool { return len(list(t, client)) == 1 })
 	second := start()
@@ -57,9 +57,9 @@
 	defer server.Close()
 	client := platform.NewClientAt(server.Listener.Addr().String())
 	table := blame.New(time.Now, func(blame.Trait, int) {})
-	go table.Sync(t.Context(), client, zerolog.Nop())
+	go table.Sync(t.Context(), client, blame.ReadOnce, zerolog.Nop())
 	for _, endpoint := range []usher.EndpointName{"e1", "e2", "e3"} {
-		table.RecordCrash(traits("s,p#"+string(endpoint)), blame.CrashOf(&usher.Registration{Name: endpoint}))
+		table.RecordCrash(traits("s,p#"+string(endpoint)), blame.CrashOf(endpoint, ""))
 	}
 	await(t, "both parts are stored", func() bool { return len(list(t, client)) == 2 })
 	table.RecordAnswer(parts("s"), func() blame.Trait { return whole("s#5") })
--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"filbertusher/internal/admission"
+	"filbertusher/internal/blame"
 	"filbertusher/internal/companion"
 	"filbertusher/internal/endpoint"
 	"filbertusher/internal/journal"
@@ -128,13 +129,16 @@
 	suspects := suspect.NewTable()
 	p.group.Go(func() error { return suspects.Sync(ctx, p.store, true, p.log) })
 	p.admin.AddSection("suspects", suspects.State)
+	crashBlame := newBlame(p.log)
+	p.group.Go(func() error { crashBlame.Sync(ctx, p.store, blame.ReadRegularly, p.log); return nil })
+	p.admin.AddSection("crashCauses", crashBlame.State)
 	fence := companion.NewFence(p.store, name, p.incarnation, p.log)
 	comp := companion.New(companion.Options{
 		Endpoint: name, Incarnation: p.incarnation,
 		TicketLifetime: p.ticketLifetime, TicketRetention: p.requestRetention, MaxUsedTickets: p.maxKeys,
 		MaxCrashes: p.maxCrashes,
 	}, companion.Dependencies{
-		Suspects: suspects, Journal: p.newSlotTable(name), Fence: fence.Current,
+		Suspects: suspects, Blame: crashBlame, Journal: p.newSlotTable(name), Fence: fence.Current,
 		Config: p.config, Backend: p.backend(),
 		Admission: admissionController,
 		Ledger:    ledger.New(p.requestRetention), RecordReplica: replica, Log: p.log,
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/endpointset"
 	"filbertusher/internal/entry"
 	"filbertusher/internal/peerrpc"
@@ -95,10 +96,13 @@
 	suspects := suspect.NewTable()
 	p.group.Go(func() error { return suspects.Sync(ctx, p.store, false, p.log) })
 	p.admin.AddSection("suspects", suspects.State)
+	crashBlame := newBlame(p.log)
+	p.group.Go(func() error { crashBlame.Sync(ctx, p.store, blame.ReadRegularly, p.log); return nil })
+	p.admin.AddSection("crashCauses", crashBlame.State)
 	server := entry.New(entry.Options{
 		Incarnation: p.incarnation, MaxBody: int64(p.maxBody), MaxTimeout: p.maxTimeout, BodyTimeout: p.bodyTimeout, Peer: peerAddress, LateBinding: p.lateBinding, ReservationRate: p.reservationsPerSecond,
 		MaxCrashes: p.maxCrashes,
-	}, entry.Dependencies{Suspects: suspects, Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
+	}, entry.Dependencies{Suspects: suspects, Blame: crashBlame, Config: p.config, Placer: placer, Recorder: recorder, Log: p.log})
 	p.admin.AddSection("entry", server.State)
 	p.admin.AddSection("placement", placer.State)
 	p.admin.AddSection("record", recorder.State)
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -174,9 +174,7 @@
 		Window: s.Bounds.QuotaWindow, Overage: s.Bounds.QuotaOverageFraction, Slack: s.Bounds.QuotaSlack,
 	}, self.Incarnation, s.Bootstrap, time.Now)
 	p.budget = retrybudget.New(retryBudgetLimits(s), time.Now)
-	p.blame = blame.New(time.Now, func(trait blame.Trait, crashes int) {
-		p.log.Warn().Str("label", trait.Label).Bool("whole", trait.Whole).Int("crashes", crashes).Msg("crashCauseFound")
-	})
+	p.blame = newBlame(p.log)
 	client := platform.NewClient(func() string { return p.settings.Load().StoreAddress })
 	p.store = client
 	p.watcher = discovery.New(discovery.Options{
@@ -277,7 +275,7 @@
 	group.Go(func() error { return p.admin.Serve(ctx) })
 	group.Go(func() error { return p.watcher.Run(ctx) })
 	group.Go(func() error { return p.recorder.Run(ctx, noPeers{}) })
-	group.Go(func() error { p.blame.Sync(ctx, p.store, p.log); return nil })
+	group.Go(func() error { p.blame.Sync(ctx, p.store, blame.ReadOnce, p.log); return nil })
 	group.Go(func() error { p.contactSeeds(ctx); return nil })
 	group.Go(func() error { pause.Every(ctx, poolSweepInterval, p.closeStaleConnections); return nil })
 	group.Go(func() error { p.watchSettings(ctx); return nil })
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"filbertusher/internal/admin"
+	"filbertusher/internal/blame"
 	"filbertusher/internal/config"
 	"filbertusher/internal/configsync"
 	"filbertusher/internal/endpointset"
@@ -115,3 +116,10 @@
 	p.admin.SetReady(false)
 	p.log.Info().Msg("stopping")
 }
+
+// newBlame returns a table of what crashes endpoints, which logs what it finds.
+func newBlame(log zerolog.Logger) *blame.Table {
+	return blame.New(time.Now, func(trait blame.Trait, crashes int) {
+		log.Warn().Str("label", trait.Label).Bool("whole", trait.Whole).Int("crashes", crashes).Msg("crashCauseFound")
+	})
+}
--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/config"
 	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
@@ -49,6 +50,7 @@
 	Ledger    *ledger.Ledger
 	Journal   *journal.SlotTable
 	Suspects  *suspect.Table
+	Blame     *blame.Table
 	// Fence returns the fencing token of this incarnation, or 0 if it has none.
 	Fence         func() usher.FencingToken
 	RecordReplica usher.RecordReplica
@@ -66,6 +68,7 @@
 	issuer       *ticket.Issuer
 	ticketSlot   *journal.Slot
 	runLock      *suspect.RunLock
+	crashes      crashCounter
 	// stopping is set by a planned shutdown, which can't be cancelled.
 	stopping atomic.Bool
 }
@@ -93,6 +96,7 @@
 		reservations: newReservations(),
 		issuer:       ticket.NewIssuer(ticket.Owner{Endpoint: options.Endpoint, Incarnation: options.Incarnation}),
 		runLock:      suspect.NewRunLock(),
+		crashes:      crashCounter{endpoint: options.Endpoint, incarnation: options.Incarnation},
 		ticketSlot:   journal.NewLocalSlot(options.TicketLifetime+options.TicketRetention, options.MaxUsedTickets),
 		drain:        newDrain(),
 		metrics: metrics{
@@ -116,6 +120,7 @@
 		ConfigVersion: c.Config.Current().Version,
 		Load:          load,
 		Suspects:      c.Suspects.Recent(),
+		Blame:         c.Blame.Report(),
 	}
 }
 
--- a/internal/companion/crash.go
+++ b/internal/companion/crash.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/endpoint"
 	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
@@ -31,7 +34,11 @@
 	if crashes >= c.options.MaxCrashes {
 		return usher.NewRefusal(usher.RefusalCrashSuspect, "the request was in endpoints that crashed and is not run any more")
 	}
-	e.exclusive = crashes > 0
+	verdict := c.Blame.Check(e.beginnings)
+	if verdict == blame.Refused && !header.ProbesCrash {
+		return usher.NewRefusal(usher.RefusalCrashSuspect, "requests that begin like this one crashed endpoints and are not run any more")
+	}
+	e.exclusive = crashes > 0 || header.ProbesCrash || verdict == blame.Retry
 	if !c.runLock.Acquire(ctx, e.exclusive) {
 		return usher.NewRefusal(usher.RefusalDeadlineExceeded, "the deadline passed while a suspected request ran alone")
 	}
@@ -47,9 +54,14 @@
 	}
 }
 
-// clearSuspicion clears a suspected request that completed while it ran
-// exclusively.
+func (e *execution) beginnings() []blame.Trait {
+	return blame.Beginnings(e.request.Header.Prefix)
+}
+
+// clearSuspicion clears the beginnings of a request that completed, and the request
+// itself if it was suspected and ran exclusively.
 func (e *execution) clearSuspicion() {
+	e.companion.Blame.RecordAnswer(e.beginnings(), nil)
 	if e.exclusive {
 		e.companion.Suspects.MarkCleared(&e.request.Header)
 		e.companion.queues.interruptCollects()
@@ -66,11 +78,35 @@
 	c := e.companion
 	header := &e.request.Header
 	crashes := c.Suspects.RecordCrash(header)
+	c.Blame.RecordCrash(e.beginnings(), c.crashes.keyFor(e.dispatchedAt))
 	c.queues.interruptCollects()
 	c.Log.Warn().Str("requestId", string(header.ID)).Str("workspace", string(header.Workspace)).
 		Str("fingerprint", string(suspect.FingerprintOf(header))).Int("crashes", crashes).Bool("alone", e.exclusive).Msg("endpointCrashed")
 }
 
+// crashCounter numbers the crashes of the endpoint. Requests that were dispatched before a
+// crash was noticed were lost in that crash.
+type crashCounter struct {
+	endpoint    usher.EndpointName
+	incarnation usher.Incarnation
+
+	mu      sync.Mutex
+	count   int
+	noticed time.Time
+}
+
+// keyFor returns the key of the crash in which a request was lost that was dispatched at
+// the given time.
+func (c *crashCounter) keyFor(dispatched time.Time) blame.CrashKey {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if dispatched.After(c.noticed) {
+		c.count++
+		c.noticed = time.Now()
+	}
+	return blame.CrashOf(c.endpoint, string(c.incarnation)+"-"+strconv.Itoa(c.count))
+}
+
 // endpointCrashed distinguishes a crash from a broken connection. After a crash
 // the endpoint does not listen, or it listens again and no longer knows the
 // request.
--- a/internal/companion/drain_test.go
+++ b/internal/companion/drain_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"filbertusher/internal/admission"
+	"filbertusher/internal/blame"
 	"filbertusher/internal/companion"
 	"filbertusher/internal/config"
 	"filbertusher/internal/journal"
@@ -51,7 +52,7 @@
 	f := &fixture{holder: config.NewHolder(), backend: &blockingBackend{started: make(chan struct{}, 9), release: make(chan struct{})}}
 	f.Companion = companion.New(companion.Options{Endpoint: "e", Incarnation: "i", MaxCrashes: 1}, companion.Dependencies{
 		// The journal holds no key slot, so it needs neither a store nor a prober.
-		Journal: journal.NewSlotTable(journal.Options{}, nil, nil), Suspects: suspect.NewTable(),
+		Journal: journal.NewSlotTable(journal.Options{}, nil, nil), Suspects: suspect.NewTable(), Blame: blame.New(time.Now, func(blame.Trait, int) {}),
 		Config: f.holder, Backend: f.backend, Admission: admission.New("e", admission.Options{MaxRunning: 1, MaxWaiting: 9}),
 		Ledger: ledger.New(time.Minute), Fence: func() usher.FencingToken { return 1 }, RecordReplica: unboundedReplica{}, Log: zerolog.Nop(),
 	})
--- a/internal/companion/execution.go
+++ b/internal/companion/execution.go
@@ -29,6 +29,7 @@
 	// it runs without others because it is suspected of a crash.
 	holdsRunLock bool
 	exclusive    bool
+	dispatchedAt time.Time
 	// backendID is the endpoint-side ID of a request that is not streamed. After a
 	// pause it differs from the request's own ID, which the endpoint has cancelled.
 	backendID usher.RequestID
@@ -90,6 +91,7 @@
 		return c.awaitResult(e.request)
 	}
 	c.metrics.dispatched(1)
+	e.dispatchedAt = time.Now()
 	if e.args.Header.Stream {
 		return e.stream(ctx, slot)
 	}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -99,6 +99,7 @@
 func (e *Entry) interpretReply(reply *wire.SubmitReply, stream *incomingStream) (result, bool) {
 	e.Placer.Observe(reply.Load)
 	e.Suspects.Merge(reply.Suspects)
+	e.Blame.Merge(reply.Blame)
 	switch reply.State {
 	case wire.StateAnswered:
 		return result{response: reply.Answer}, true
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/config"
 	"filbertusher/internal/limit"
 	"filbertusher/internal/record"
@@ -53,6 +54,7 @@
 	Placer   usher.Placer
 	Recorder usher.Recorder
 	Suspects *suspect.Table
+	Blame    *blame.Table
 	Log      zerolog.Logger
 }
 
--- a/internal/entry/peer.go
+++ b/internal/entry/peer.go
@@ -264,6 +264,7 @@
 	}
 	p.entry.Placer.Observe(reply.Load)
 	p.entry.Suspects.Merge(reply.Suspects)
+	p.entry.Blame.Merge(reply.Blame)
 	p.entry.Config.ReportPeerVersion(p.link.Address(), reply.ConfigVersion)
 	if reply.Batch != ack {
 		p.deliver(reply.Events)
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,7 +41,7 @@
 	g := h.gateway
 	traits, sent := h.traits(), h.attemptSent
 	report := func() {
-		crash := blame.CrashOf(&grant.Endpoint)
+		crash := blame.CrashOf(grant.Endpoint.Name, strconv.FormatInt(grant.Endpoint.Born, 10)+"@"+grant.Endpoint.Address)
 		crashed := g.Blame.HasCrash(crash) || !g.Pool.Reachable(&grant.Endpoint)
 		g.metrics.lost.Add(string(progress), 1)
 		if crashed {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"filbertusher/internal/blame"
 	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
 )
@@ -48,6 +49,8 @@
 	// Suspects are the requests that were running in endpoints when these
 	// recently crashed.
 	Suspects []suspect.CrashRecord
+	// Blame are the beginnings of prompts under which endpoints crashed.
+	Blame []blame.Record
 }
 
 // SubmitArgs submits a request with its body to a companion.
--- a/pkg/usher/ids.go
+++ b/pkg/usher/ids.go
@@ -102,5 +102,8 @@
 	Idempotent bool
 	// Crashes is how often an endpoint crashed while it ran the same request.
 	Crashes int
-	Stream  bool
+	// ProbesCrash is set for a request that is let through although requests that begin
+	// like it crashed endpoints. It runs alone.
+	ProbesCrash bool
+	Stream      bool
 }
--- a/test/gateway/crash_part_test.go
+++ b/test/gateway/crash_part_test.go
@@ -246,7 +246,7 @@
 		c.eventually("the part is refused", func() bool { return refused(g) })
 	}
 	c.eventually("the blame is stored", func() bool {
-		_, stored := c.memory.Get("suspects/gateways")
+		_, stored := c.memory.Get("suspects/causes")
 		return stored
 	})
 	for _, g := range gateways {
--- a/test/outcome/crash_test.go
+++ b/test/outcome/crash_test.go
@@ -205,3 +205,37 @@
 	}
 	c.awaitCrashes(3)
 }
+
+// TestCrashingPrefix sends requests of which no two are alike and which share the
+// beginning of their prompt, under which engines crash, beside harmless ones that share
+// an earlier part of it. The entries must find out and refuse the former.
+func TestCrashingPrefix(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	c := newRestartingCluster(ctx, t)
+	instructions := strings.Repeat("answer in one word. ", 60)
+	manual := strings.Repeat("the pump has three seals. ", 60)
+	for entry := range 2 {
+		if got := c.sendChat(entry, instructions+"which pump fits?", 4); got != "answered" {
+			t.Fatalf("a harmless request got %s", got)
+		}
+	}
+	const requests = 16
+	refused, answered := 0, 0
+	for i := range requests {
+		if c.sendChat(i%2, instructions+engine.CrashMarker+manual+"question "+strconv.Itoa(i), 4) == string(usher.RefusalCrashSuspect) {
+			refused++
+		}
+		if c.sendChat((i+1)%2, instructions+manual+"question "+strconv.Itoa(i), 4) == "answered" {
+			answered++
+		}
+	}
+	const maxCrashes = 5
+	if got := c.crashes.Load(); got > maxCrashes || refused < requests/2 {
+		t.Errorf("%d engines crashed, want at most %d; %d of %d requests were refused, want at least half", got, maxCrashes, refused, requests)
+	}
+	if answered < requests/2 {
+		t.Errorf("%d of %d harmless requests were answered, want at least half", answered, requests)
+	}
+}
