--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -67,11 +67,12 @@
 // the requests that arrived, suspected those refused because they crashed
 // endpoints, and overQuota those refused for their workspace's quota. overBudget
 // counts the retries that the retry budget did not allow, repeated the retries, and
-// moved the moves away from an endpoint that sent nothing. lost counts the attempts whose
+// moved the moves away from an endpoint that sent nothing. rateLimited counts the
+// responses in which an endpoint names a rate limit. lost counts the attempts whose
 // connection broke and crashed those after which the endpoint accepted no connection,
 // both by responseProgress.
 type metrics struct {
-	started, suspected, overQuota, overBudget, repeated, moved *expvar.Int
+	started, suspected, overQuota, overBudget, repeated, moved, rateLimited *expvar.Int
 
 	lost       *telemetry.Metrics
 	crashed    *telemetry.Metrics
@@ -87,7 +88,8 @@
 	return &metrics{
 		started: group.Counter("started"), suspected: group.Counter("suspected"), overQuota: group.Counter("overQuota"),
 		overBudget: group.Counter("overBudget"), repeated: group.Counter("repeated"), moved: group.Counter("moved"),
-		lost: telemetry.NewMetrics("gatewayLost"), crashed: telemetry.NewMetrics("gatewayCrashed"),
+		rateLimited: group.Counter("rateLimited"),
+		lost:        telemetry.NewMetrics("gatewayLost"), crashed: telemetry.NewMetrics("gatewayCrashed"),
 		refused: telemetry.NewMetrics("gatewayRefused"), statuses: telemetry.NewMetrics("gatewayStatus"),
 		firstEvent: newHistogram(), total: newHistogram(), waited: newHistogram(),
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -194,6 +194,9 @@
 	if err != nil {
 		return h.handleSendError(ctx, grant, err)
 	}
+	if response.Metadata.RateLimit != nil {
+		h.gateway.metrics.rateLimited.Add(1)
+	}
 	if response.Metadata.NotRun {
 		response.Close(false)
 		grant.End(endForRejection(response))
--- a/pkg/usher/gateway.go
+++ b/pkg/usher/gateway.go
@@ -229,6 +229,9 @@
 	NotRun bool
 	// OtherEndpoint is set if another endpoint now owns the address.
 	OtherEndpoint bool
+	// RateLimit is how many requests per second the endpoint takes from all instances
+	// together; nil if it names no limit.
+	RateLimit *float64
 }
 
 // HeaderCodec encodes and decodes the HTTP headers that callers and endpoints use.
