--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -44,10 +44,12 @@
 	// crashPath is the path of requests that crash the replica, and crashPart the part
 	// of a prompt under which it crashes once it begins to write a stream. unframed
 	// streams have neither a length nor chunks. onArrival is called for each request.
-	crashPath      string
-	crashPart      string
-	unframed       bool
-	onArrival      func(*http.Request)
+	crashPath string
+	crashPart string
+	unframed  bool
+	onArrival func(*http.Request)
+	// rateLimit is the Server-Limit that responses name, if it is not empty.
+	rateLimit      string
 	executions     map[string]int
 	requestHeaders []http.Header
 	starts         []executionStart
@@ -106,6 +108,11 @@
 		r.onArrival(request)
 	}
 	w.Header().Set("X-Filbertusher-Attempt-Id", id)
+	r.mu.Lock()
+	if r.rateLimit != "" {
+		w.Header().Set("Server-Limit", r.rateLimit)
+	}
+	r.mu.Unlock()
 	if expected := request.Header.Get("X-Filbertusher-Expect-Instance"); expected != r.id {
 		w.Header().Set("X-Filbertusher-Instance-Id", r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
