Keep to the rate limits that endpoints name

An endpoint's limit holds for all gateways together. A few of them, which follow from the members and the endpoint, hold a part of it each, in proportion to their shares of the slots, in a bucket of one request; the others send nothing. So the bursts of all holders add up to two requests and one for each request a second, with 33 gateways too, and no message is needed for a request. Reports tell what an endpoint named last, so that a gateway keeps to it before its own first answer, and learns of the end. A limit below 0.25 counts as 0.25, because only an answer shows that it has ended.

TestReplicaThatNamesLimit failed before (739 requests in 4 s with 15 callers, 451 with 9; 17 allowed) and passes. With 9 callers the limited replica is not needed at all, hence 15. In the simulation (1, 4 and 33 gateways, limits of 0 to 20 a second) no engine gets more than its bound, engines get 60% of their limit or more, and their part of the load afterwards. The dump shows the limits.

--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -96,6 +96,7 @@
 
 	suspendedUntil time.Time
 	backoff        time.Duration
+	limit          rateLimit
 }
 
 func newEndpoint(r usher.Registration) *endpoint {
@@ -122,7 +123,7 @@
 // requests are shorter than the interval between reports. Therefore an instance may
 // always use a few slots of such an endpoint.
 func (s *Scheduler) canSend(svc *service, e *endpoint, now time.Time) bool {
-	if now.Before(e.suspendedUntil) {
+	if now.Before(e.suspendedUntil) || !s.withinLimit(svc, e, now) {
 		return false
 	}
 	slots := e.slotCount(svc.spec)
@@ -133,6 +134,10 @@
 	if free <= 0 {
 		return false
 	}
+	if e.limit.named {
+		// The rate bounds what the holders send more than their slots would.
+		return true
+	}
 	return e.own.Running < max(e.guaranteed, e.borrowLimit)
 }
 
@@ -284,6 +289,7 @@
 	svc.running++
 	e.own.Running++
 	e.own.Prefill += tokens
+	e.limit.take()
 	e.awaitingFirstEvent[g] = struct{}{}
 	svc.prefixes.record(request.Prefix, e.Name, now)
 	return g
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -20,6 +20,7 @@
 type Report struct {
 	Loads  map[usher.EndpointName]Load
 	Demand map[usher.ServiceName]Demand
+	Limits map[usher.EndpointName]NamedLimit
 }
 
 // peer is the state that the scheduler keeps of another instance.
@@ -106,6 +107,7 @@
 	now := s.options.Now()
 	old := s.peers[name]
 	s.peers[name] = &peer{report: report, lastReport: now}
+	s.mergeLimits(report.Limits, now)
 	if now.Sub(s.sharesUpdated) >= shareUpdateInterval {
 		s.updateShares(now)
 	} else {
@@ -139,12 +141,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.options.Now()
-	report := Report{Loads: make(map[usher.EndpointName]Load), Demand: make(map[usher.ServiceName]Demand)}
+	report := Report{
+		Loads: make(map[usher.EndpointName]Load), Demand: make(map[usher.ServiceName]Demand), Limits: make(map[usher.EndpointName]NamedLimit),
+	}
 	for _, svc := range s.services {
 		for name, e := range svc.endpoints {
 			if load := e.reportedLoad(now); load != (Load{}) {
 				report.Loads[name] = load
 			}
+			if limit, ok := e.limit.report(e.Born, now); ok {
+				report.Limits[name] = limit
+			}
 		}
 		if demand := svc.demand(now); demand.sum() > 0 {
 			report.Demand[svc.name] = demand
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -53,6 +53,10 @@
 	running     int
 	queue       []*simRequest
 	queuedTotal int
+	// limit returns the rate limit that answers name at a time, and arrivals are the
+	// times at which requests arrived.
+	limit    func(time.Time) *float64
+	arrivals []time.Time
 }
 
 // simRequest is a request and what happened to it so far. size is the largest size
@@ -224,6 +228,7 @@
 			r.engine = e
 		}
 	}
+	r.engine.arrivals = append(r.engine.arrivals, s.now)
 	if r.engine.running >= r.engine.Slots {
 		r.engine.queuedTotal++
 		r.engine.queue = append(r.engine.queue, r)
@@ -240,6 +245,9 @@
 	s.after(firstEvent, func() {
 		r.firstEvent = s.now
 		r.grant.FirstEvent()
+		if e.limit != nil {
+			r.grant.ReportLimit(e.limit(s.now))
+		}
 	})
 	s.after(firstEvent+rest, func() {
 		r.ended = s.now
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -13,6 +13,8 @@
 	EventIntervalMs float64            `json:"paceMs"`
 	FailureRate     float64            `json:"failing"`
 	Suspended       bool               `json:"suspended"`
+	// RateLimit is the limit that the endpoint names, in requests per second, or 0.
+	RateLimit float64 `json:"rateLimit"`
 }
 
 // serviceState describes a service in the diagnostic dump.
@@ -39,10 +41,14 @@
 			Granted: svc.counts.granted, Waited: svc.counts.waited, Refused: svc.counts.refused, Expired: svc.counts.expired,
 		}
 		for _, e := range svc.endpoints {
+			limit := 0.0
+			if e.limit.named {
+				limit = e.limit.perSecond
+			}
 			state.Endpoints = append(state.Endpoints, endpointState{
 				Endpoint: e.Name, Own: e.own, Others: e.others, Slots: e.slotCount(svc.spec), Guaranteed: e.guaranteed,
 				Ratio: e.currentRatio(now), EventIntervalMs: float64(e.eventInterval.Microseconds()) / 1000, FailureRate: e.currentFailureRate(now),
-				Suspended: now.Before(e.suspendedUntil),
+				Suspended: now.Before(e.suspendedUntil), RateLimit: limit,
 			})
 		}
 		states = append(states, state)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -197,6 +197,9 @@
 	if response.Metadata.RateLimit != nil {
 		h.gateway.metrics.rateLimited.Add(1)
 	}
+	if !response.Metadata.OtherEndpoint {
+		grant.ReportLimit(response.Metadata.RateLimit)
+	}
 	if response.Metadata.NotRun {
 		response.Close(false)
 		grant.End(endForRejection(response))
--- a/test/gateway/limit_test.go
+++ b/test/gateway/limit_test.go
@@ -47,7 +47,8 @@
 		ctx, cancel := context.WithTimeout(t.Context(), duration)
 		defer cancel()
 		var callers sync.WaitGroup
-		for i := range 9 {
+		// More callers than the other replicas have slots.
+		for i := range 15 {
 			callers.Go(func() {
 				for n := 0; ctx.Err() == nil; n++ {
 					id := fmt.Sprint(duration, "-", i, "-", n)
