Don't blame a request that is answered often for a few crashes at once

A request that many callers send alike, and that was in flight at two endpoints which crashed together, was refused for 10 minutes, because only parts of prompts were remembered as answered. Seen while reading the soak, whose requests are all alike; the case in testdata/whole failed before ('refused').

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -145,7 +145,7 @@
 
 	mu       sync.Mutex
 	records  map[Key]*entry
-	answered *keySet
+	answered *traitSet
 	// causes is nil while no trait is blamed, which is nearly always.
 	causes atomic.Pointer[causes]
 	// reported holds copies of the records for Report, and size is the number of records.
@@ -158,7 +158,7 @@
 // New returns an empty table. onCause is called, with the number of crashes, when a
 // trait is blamed for the first time.
 func New(now func() time.Time, onCause func(trait Trait, crashes int)) *Table {
-	t := &Table{now: now, onCause: onCause, records: make(map[Key]*entry), answered: newKeySet(), changed: make(chan struct{}, 1)}
+	t := &Table{now: now, onCause: onCause, records: make(map[Key]*entry), answered: newTraitSet(), changed: make(chan struct{}, 1)}
 	t.reported.Store(&[]entry{})
 	return t
 }
@@ -183,7 +183,7 @@
 func (t *Table) limit(traits []Trait) []Trait {
 	limited := slices.Clone(traits)
 	slices.SortStableFunc(limited, func(a, b Trait) int {
-		return boolRank(t.answered.contains(a.Key)) - boolRank(t.answered.contains(b.Key))
+		return boolRank(t.answered.contains(a)) - boolRank(t.answered.contains(b))
 	})
 	return limited[:min(len(limited), maxTraits)]
 }
@@ -199,7 +199,7 @@
 func (t *Table) entry(trait Trait, now time.Time) *entry {
 	e := t.records[trait.Key]
 	if e == nil || now.Sub(e.changed) > recordTTL {
-		e = &entry{Record: Record{Trait: trait, Answered: t.answered.contains(trait.Key)}, changed: now}
+		e = &entry{Record: Record{Trait: trait, Answered: t.answered.contains(trait)}, changed: now}
 		t.records[trait.Key] = e
 	}
 	return e
@@ -219,28 +219,14 @@
 	}
 }
 
-// RecordAnswer records that a request with these parts was answered completely. whole
-// returns the trait of the whole request; it may be nil, and is called only while there
-// are records.
-func (t *Table) RecordAnswer(parts []Trait, whole func() Trait) {
-	if len(parts) == 0 && t.size.Load() == 0 {
-		return
-	}
+// RecordAnswer records that a request with these traits was answered completely.
+func (t *Table) RecordAnswer(traits []Trait) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
-		t.answered.add(part.Key)
-	}
-	if len(t.records) == 0 {
-		return
-	}
-	cleared := parts
-	if whole != nil {
-		cleared = append(slices.Clone(parts), whole())
-	}
 	now := t.now()
 	changed := false
-	for _, trait := range cleared {
+	for _, trait := range traits {
+		t.answered.add(trait)
 		if e := t.records[trait.Key]; e != nil && len(e.Crashes) > 0 {
 			e.Generation++
 			t.clear(e, now)
@@ -272,7 +258,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, trait := range traits {
-		if !t.answered.contains(trait.Key) {
+		if !t.answered.contains(trait) {
 			return false
 		}
 	}
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -72,8 +72,7 @@
 			}
 		case "answer": // answer INSTANCE REQUEST...
 			for _, request := range fields[2:] {
-				shared, _, _ := strings.Cut(request, "#")
-				s.instance(fields[1]).RecordAnswer(parts(shared), func() blame.Trait { return whole(request) })
+				s.instance(fields[1]).RecordAnswer(traits(request))
 			}
 		case "report": // report FROM TO
 			s.instance(fields[2]).Merge(s.instance(fields[1]).Report())
@@ -120,9 +119,7 @@
 				drawTable(t).RecordCrash(traits(drawRequest(t)), blame.CrashOf(endpoint, ""))
 			},
 			"answer": func(t *rapid.T) {
-				request := drawRequest(t)
-				shared, _, _ := strings.Cut(request, "#")
-				drawTable(t).RecordAnswer(parts(shared), func() blame.Trait { return whole(request) })
+				drawTable(t).RecordAnswer(traits(drawRequest(t)))
 			},
 			"merge": func(t *rapid.T) { drawTable(t).Merge(drawTable(t).Report()) },
 		})
--- a/internal/blame/sync_test.go
+++ b/internal/blame/sync_test.go
@@ -62,7 +62,7 @@
 		table.RecordCrash(traits("s,p#"+string(endpoint)), blame.CrashOf(endpoint, ""))
 	}
 	await(t, "both parts are stored", func() bool { return len(list(t, client)) == 2 })
-	table.RecordAnswer(parts("s"), func() blame.Trait { return whole("s#5") })
+	table.RecordAnswer(traits("s#5"))
 	await(t, "the clearance is stored", func() bool {
 		cleared := 0
 		for _, record := range list(t, client) {
--- a/internal/companion/crash.go
+++ b/internal/companion/crash.go
@@ -61,7 +61,7 @@
 // clearSuspicion clears the beginnings of a request that completed, and the request
 // itself if it was suspected and ran exclusively.
 func (e *execution) clearSuspicion() {
-	e.companion.Blame.RecordAnswer(e.beginnings(), nil)
+	e.companion.Blame.RecordAnswer(e.beginnings())
 	if e.exclusive {
 		e.companion.Suspects.MarkCleared(&e.request.Header)
 		e.companion.queues.interruptCollects()
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -110,7 +110,7 @@
 // crashes.
 func (h *requestHandler) reportAnswer(status int) {
 	if status >= http.StatusOK && status < http.StatusMultipleChoices {
-		h.gateway.Blame.RecordAnswer(blame.SharedParts(h.headers.Prefix), h.wholeTrait)
+		h.gateway.Blame.RecordAnswer(h.traits())
 	}
 }
 
