Keep the event endpointCrashed, and call the request that is let through a probe

The log line of a lost attempt whose endpoint crashed was renamed by mistake when attemptLost was added; operators match its name. It is endpointCrashed again, with the progress and the parts, and attemptLost where the endpoint still accepts connections. Labels of parts are made in one place. 'Retry' also means sending again in the gateway, so the verdict is Probe.

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -130,12 +130,12 @@
 
 // entry is a record with its state in this process. changed is when it last changed, and
 // since is when the first of its crashes was recorded here. While it is a cause, one
-// request with it is let through at retryAt.
+// request with it is let through as a probe at probeAt.
 type entry struct {
 	Record
 	changed, since time.Time
 	cause          bool
-	retryAt        time.Time
+	probeAt        time.Time
 }
 
 // Table holds the records that one instance knows. It is safe for concurrent use.
@@ -215,7 +215,7 @@
 		e.Crashes = slices.Delete(e.Crashes, 0, surplus)
 	}
 	if e.cause {
-		e.postponeRetry(now)
+		e.postponeProbe(now)
 	}
 }
 
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -85,7 +85,7 @@
 		case "check": // check INSTANCE REQUEST...
 			for _, request := range fields[2:] {
 				verdict := s.instance(fields[1]).Check(func() []blame.Trait { return traits(request) })
-				out = append(out, request+" "+[]string{"allowed", "refused", "retry"}[verdict])
+				out = append(out, request+" "+[]string{"allowed", "refused", "probe"}[verdict])
 			}
 		default:
 			t.Fatalf("unknown command %q", line)
--- a/internal/blame/causes.go
+++ b/internal/blame/causes.go
@@ -23,11 +23,11 @@
 	// without an answer. In a series of crashes even the most common trait goes without
 	// one until an endpoint is back.
 	answeredPatience = 2 * time.Second
-	// retryInterval is the shortest time after which one request with a blamed trait is
+	// probeInterval is the shortest time after which one request with a blamed trait is
 	// let through, in case the trait was blamed wrongly or no longer crashes endpoints.
-	// answeredRetryInterval is the one for a trait that was answered before.
-	retryInterval         = 10 * time.Minute
-	answeredRetryInterval = 30 * time.Second
+	// answeredProbeInterval is the one for a trait that was answered before.
+	probeInterval         = 10 * time.Minute
+	answeredProbeInterval = 30 * time.Second
 )
 
 // causes are the blamed traits. A request is refused if it has one in single, or all of a
@@ -76,21 +76,21 @@
 func (t *Table) setBlamed(e *entry, blamed bool, now time.Time) {
 	if blamed && !e.cause {
 		e.cause = true
-		e.postponeRetry(now)
+		e.postponeProbe(now)
 		t.onCause(e.Trait, len(e.Crashes))
 		t.signalChange()
 	}
 	e.cause = blamed
 }
 
-// postponeRetry spreads the retries of several instances, so that the first one is known
+// postponeProbe spreads the probes of several instances, so that the first one is known
 // to the others before they are due.
-func (e *entry) postponeRetry(now time.Time) {
-	interval := retryInterval
+func (e *entry) postponeProbe(now time.Time) {
+	interval := probeInterval
 	if e.Answered {
-		interval = answeredRetryInterval
+		interval = answeredProbeInterval
 	}
-	e.retryAt = now.Add(interval + rand.N(interval))
+	e.probeAt = now.Add(interval + rand.N(interval))
 }
 
 // group holds traits that were present at the same crashes, so that nothing tells them
@@ -188,9 +188,9 @@
 	Allowed Verdict = iota
 	// Refused means that it has one.
 	Refused
-	// Retry means that it has one and is let through once, to see whether it still
-	// crashes endpoints. It must be sent to one endpoint only.
-	Retry
+	// Probe means that it has one and is let through, to see whether it still crashes
+	// endpoints. It must be sent to one endpoint only.
+	Probe
 )
 
 // Check decides on a request. While no trait is blamed it costs one atomic load, and
@@ -208,16 +208,16 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	for _, key := range blamed {
-		if e := t.records[key]; e != nil && now.Before(e.retryAt) {
+		if e := t.records[key]; e != nil && now.Before(e.probeAt) {
 			return Refused
 		}
 	}
 	for _, key := range blamed {
 		if e := t.records[key]; e != nil {
-			e.postponeRetry(now)
+			e.postponeProbe(now)
 		}
 	}
-	return Retry
+	return Probe
 }
 
 // of returns the keys of the traits for which a request is refused.
--- a/internal/companion/crash.go
+++ b/internal/companion/crash.go
@@ -38,7 +38,7 @@
 	if verdict == blame.Refused && !header.ProbesCrash {
 		return usher.NewRefusal(usher.RefusalCrashSuspect, "requests that begin like this one crashed endpoints and are not run any more")
 	}
-	e.exclusive = crashes > 0 || header.ProbesCrash || verdict == blame.Retry
+	e.exclusive = crashes > 0 || header.ProbesCrash || verdict == blame.Probe
 	if !c.runLock.Acquire(ctx, e.exclusive) {
 		return usher.NewRefusal(usher.RefusalDeadlineExceeded, "the deadline passed while a suspected request ran alone")
 	}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -36,12 +36,12 @@
 	// the quota and credited to the retry budget.
 	quotaCharged  bool
 	retryCredited bool
-	// knownTraits is the result of traits, which several goroutines call. probesSuspect
+	// knownTraits is the result of traits, which several goroutines call. probesCrash
 	// is set if the request is let through although it has crashed endpoints; it is sent
 	// only once.
-	traitsOnce    sync.Once
-	knownTraits   []blame.Trait
-	probesSuspect bool
+	traitsOnce  sync.Once
+	knownTraits []blame.Trait
+	probesCrash bool
 
 	// responseHash and responseBytes cover the response body, for the decision
 	// record.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -24,12 +24,8 @@
 	progressEvents responseProgress = "events"
 )
 
-const (
-	// maxLoggedParts and maxLoggedPartBytes bound what a log line quotes of a prompt's
-	// parts, which callers choose.
-	maxLoggedParts     = 8
-	maxLoggedPartBytes = 32
-)
+// maxLoggedParts bounds the parts of a prompt that a log line names.
+const maxLoggedParts = 8
 
 // reportLost is called when the connection broke while a request ran. It counts a
 // crash only if the endpoint no longer accepts connections, because connections
@@ -48,10 +44,13 @@
 			g.metrics.crashed.Add(string(progress), 1)
 			g.Blame.RecordCrash(traits, crash)
 		}
+		event := "attemptLost"
+		if crashed {
+			event = "endpointCrashed"
+		}
 		if g.logLimiter.allow() {
 			g.Log.Warn().Str("request", string(h.headers.ID)).Str("endpoint", string(grant.Endpoint.Name)).
-				Str("progress", string(progress)).Bool("crashed", crashed).Dur("after", time.Since(sent)).
-				Str("parts", logParts(h.headers.Prefix)).Msg("attemptLost")
+				Str("progress", string(progress)).Dur("after", time.Since(sent)).Str("parts", partLabels(traits)).Msg(event)
 		}
 	}
 	if g.Blame.Answered(blame.SharedParts(h.headers.Prefix)) {
@@ -88,14 +87,14 @@
 // checkSuspect refuses the request if it has crashed endpoints, or has a part in common
 // with requests that have.
 func (h *requestHandler) checkSuspect() *usher.Refusal {
-	if h.probesSuspect {
+	if h.probesCrash {
 		return nil
 	}
 	switch h.gateway.Blame.Check(h.traits) {
 	case blame.Allowed:
 		return nil
-	case blame.Retry:
-		h.probesSuspect = true
+	case blame.Probe:
+		h.probesCrash = true
 		return nil
 	case blame.Refused:
 	}
@@ -120,13 +119,13 @@
 	return !response.Framed() && !h.gateway.Pool.Reachable(&grant.Endpoint)
 }
 
-// logParts returns the IDs of a prompt's parts, without the last one, which no other
-// request shares.
-func logParts(parts []usher.PromptPart) string {
-	shared := parts[:max(0, len(parts)-1)]
-	ids := make([]string, 0, maxLoggedParts)
-	for _, part := range shared[:min(len(shared), maxLoggedParts)] {
-		ids = append(ids, part.ID[:min(len(part.ID), maxLoggedPartBytes)])
+// partLabels returns the labels of the shared parts, for the log.
+func partLabels(traits []blame.Trait) string {
+	var labels []string
+	for _, trait := range traits {
+		if !trait.Whole && len(labels) < maxLoggedParts {
+			labels = append(labels, trait.Label)
+		}
 	}
-	return strings.Join(ids, ",")
+	return strings.Join(labels, ",")
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -174,7 +174,7 @@
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var fallback *dispatch.Request
-	if h.route.Idempotent() && h.attempts < h.route.MaxAttempts && !h.probesSuspect {
+	if h.route.Idempotent() && h.attempts < h.route.MaxAttempts && !h.probesCrash {
 		fallback = h.dispatchRequest(tried, true)
 	}
 	monitor := h.monitorAttempt(&grant.Endpoint, fallback, cancel)
@@ -275,7 +275,7 @@
 	if h.attempts >= h.route.MaxAttempts {
 		return false
 	}
-	if h.probesSuspect || h.checkSuspect() != nil {
+	if h.probesCrash || h.checkSuspect() != nil {
 		return false
 	}
 	if !h.gateway.Budget.TrySpend(h.service) {
