Let an answer clear a part of a prompt for its own service only

A route may send a part of its requests to another service, whose endpoints answer what those of the first crash under. Each such answer cleared the part, so that it was never blamed and went on crashing engines.

Traits are recorded for a service and refused by their content at all services, because each would take its own crashes to find out. The traits of a request are made anew when its route moves it to another service.

--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -19,7 +19,7 @@
 
 // script runs the commands of a test script on several instances. Times are seconds.
 // A request is written as its parts, such as "s,m,p"; the whole request is the trait of
-// the same text.
+// the same text. "desk/s,p" is a request to another service than most.
 type script struct {
 	now       time.Time
 	instances map[string]*blame.Table
@@ -39,24 +39,21 @@
 	return s.instances[name]
 }
 
-// parts returns the traits of the parts of a request.
-func parts(request string) []blame.Trait {
-	var prompt []usher.PromptPart
-	for _, id := range strings.Split(request, ",") {
-		prompt = append(prompt, usher.PromptPart{ID: id, Tokens: 100})
-	}
-	return blame.SharedParts(append(prompt, usher.PromptPart{ID: "own", Tokens: 100}))
-}
-
-func whole(request string) blame.Trait {
-	return blame.WholeRequest("w", "model", usher.Digest(request))
-}
-
 // traits returns all traits of a request. A "#" and a number make whole requests with
 // the same parts differ.
 func traits(request string) []blame.Trait {
-	shared, _, _ := strings.Cut(request, "#")
-	return append([]blame.Trait{whole(request)}, parts(shared)...)
+	service, content, found := strings.Cut(request, "/")
+	if !found {
+		service, content = "model", request
+	}
+	shared, _, _ := strings.Cut(content, "#")
+	var prompt []usher.PromptPart
+	for _, id := range strings.Split(shared, ",") {
+		prompt = append(prompt, usher.PromptPart{ID: id, Tokens: 100})
+	}
+	name := usher.ServiceName(service)
+	whole := blame.WholeRequest("w", name, usher.Digest(content))
+	return append([]blame.Trait{whole}, blame.SharedParts(name, append(prompt, usher.PromptPart{ID: "own", Tokens: 100}))...)
 }
 
 func (s *script) run(t *testing.T, d *datadriven.TestData) string {
@@ -153,7 +150,7 @@
 			for part := range 100 {
 				prompt = append(prompt, usher.PromptPart{ID: fmt.Sprint(crash, "-", request, "-", part, strings.Repeat("x", 500))})
 			}
-			table.RecordCrash(blame.SharedParts(prompt), key)
+			table.RecordCrash(blame.SharedParts("model", prompt), key)
 		}
 	}
 	bytes := 0
@@ -166,7 +163,7 @@
 	if states := fmt.Sprint(table.State()); len(states) > 1024*200 {
 		t.Errorf("the records take %d bytes as text", len(states))
 	}
-	if table.Check(func() []blame.Trait { return parts("poison") }) != blame.Refused {
+	if table.Check(func() []blame.Trait { return traits("poison") }) != blame.Refused {
 		t.Error("the cause was not found among many other parts")
 	}
 }
--- a/internal/blame/causes.go
+++ b/internal/blame/causes.go
@@ -30,11 +30,11 @@
 	answeredProbeInterval = 30 * time.Second
 )
 
-// causes are the blamed traits. A request is refused if it has one in single, or all of a
-// group in together.
+// causes are the blamed traits. A request is refused if it has the content of one in
+// single, or the contents of a whole group in together. single has the content as its key.
 type causes struct {
-	single   map[Key]struct{}
-	together [][]Key
+	single   map[Key][]Trait
+	together [][]Trait
 }
 
 // findCauses blames as few traits as explain the crashes. The load that it answers is a
@@ -47,20 +47,20 @@
 			candidates = append(candidates, e)
 		}
 	}
-	found := &causes{single: make(map[Key]struct{})}
+	found := &causes{single: make(map[Key][]Trait)}
 	blamed := make(map[Key]bool)
 	for _, group := range explain(candidates, now) {
-		keys := make([]Key, 0, len(group.entries))
+		traits := make([]Trait, 0, len(group.entries))
 		for _, e := range group.entries {
-			keys = append(keys, e.Key)
+			traits = append(traits, e.Trait)
 			blamed[e.Key] = true
 		}
-		if len(keys) > 1 && len(group.crashes) < apartCrashes {
-			found.together = append(found.together, keys)
+		if len(traits) > 1 && len(group.crashes) < apartCrashes {
+			found.together = append(found.together, traits)
 			continue
 		}
-		for _, key := range keys {
-			found.single[key] = struct{}{}
+		for _, trait := range traits {
+			found.single[trait.Content] = append(found.single[trait.Content], trait)
 		}
 	}
 	for _, e := range t.records {
@@ -207,31 +207,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	for _, key := range blamed {
-		if e := t.records[key]; e != nil && now.Before(e.probeAt) {
+	for _, trait := range blamed {
+		if e := t.records[trait.Key]; e != nil && now.Before(e.probeAt) {
 			return Refused
 		}
 	}
-	for _, key := range blamed {
-		if e := t.records[key]; e != nil {
+	for _, trait := range blamed {
+		if e := t.records[trait.Key]; e != nil {
 			e.postponeProbe(now)
 		}
 	}
 	return Probe
 }
 
-// of returns the keys of the traits for which a request is refused.
-func (c *causes) of(traits []Trait) []Key {
-	var blamed []Key
+// of returns the blamed traits for which a request with the given ones is refused.
+func (c *causes) of(traits []Trait) []Trait {
+	var blamed []Trait
 	present := make(map[Key]bool, len(traits))
 	for _, trait := range traits {
-		present[trait.Key] = true
-		if _, is := c.single[trait.Key]; is {
-			blamed = append(blamed, trait.Key)
-		}
+		present[trait.Content] = true
+		blamed = append(blamed, c.single[trait.Content]...)
 	}
 	for _, group := range c.together {
-		if !slices.ContainsFunc(group, func(key Key) bool { return !present[key] }) {
+		if !slices.ContainsFunc(group, func(trait Trait) bool { return !present[trait.Content] }) {
 			blamed = append(blamed, group...)
 		}
 	}
--- a/internal/companion/crash.go
+++ b/internal/companion/crash.go
@@ -55,7 +55,7 @@
 }
 
 func (e *execution) beginnings() []blame.Trait {
-	return blame.Beginnings(e.request.Header.Prefix)
+	return blame.Beginnings(e.request.Header.Service, e.request.Header.Prefix)
 }
 
 // clearSuspicion clears the beginnings of a request that completed, and the request
--- a/internal/entry/crashes.go
+++ b/internal/entry/crashes.go
@@ -13,7 +13,7 @@
 func (e *Entry) checkCrashLimit(req *request) *usher.Refusal {
 	header := &req.RequestHeader
 	header.Crashes = e.Suspects.Crashes(func() suspect.Fingerprint { return suspect.FingerprintOf(header) })
-	verdict := e.Blame.Check(func() []blame.Trait { return blame.Beginnings(header.Prefix) })
+	verdict := e.Blame.Check(func() []blame.Trait { return blame.Beginnings(header.Service, header.Prefix) })
 	header.ProbesCrash = header.ProbesCrash || verdict == blame.Probe
 	if header.Crashes < e.options.MaxCrashes && (verdict != blame.Refused || header.ProbesCrash) {
 		return nil
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -187,6 +187,7 @@
 	}
 	if !routing.RoutesTo(route, h.service) {
 		h.service = routing.PickService(route, h.headers.ID)
+		h.traitsOnce = sync.Once{}
 	}
 	return nil
 }
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -53,7 +53,7 @@
 				Str("progress", string(progress)).Dur("after", time.Since(sent)).Str("parts", partLabels(traits)).Msg(event)
 		}
 	}
-	if g.Blame.Answered(blame.SharedParts(h.headers.Prefix)) {
+	if g.Blame.Answered(blame.SharedParts(h.service, h.headers.Prefix)) {
 		go report()
 		return
 	}
@@ -63,7 +63,7 @@
 // traits returns what the request may have in common with others that crash endpoints.
 func (h *requestHandler) traits() []blame.Trait {
 	h.traitsOnce.Do(func() {
-		h.knownTraits = append([]blame.Trait{h.wholeTrait()}, blame.SharedParts(h.headers.Prefix)...)
+		h.knownTraits = append([]blame.Trait{h.wholeTrait()}, blame.SharedParts(h.service, h.headers.Prefix)...)
 	})
 	return h.knownTraits
 }
