--- a/test/gateway/soak_faults_test.go
+++ b/test/gateway/soak_faults_test.go
@@ -35,6 +35,8 @@
 		{Name: "model aborts streams", Target: "model", Weight: 3, Inject: s.unplanned(s.abortStreams)},
 		{Name: "disconnect desk", Target: "desk", Weight: 3, Inject: s.unplanned(func(ctx context.Context, r *rand.Rand, target int) { s.disconnectLink(ctx, r, s.desks[target].id) })},
 		{Name: "desk resets connections", Target: "desk", Weight: 3, Inject: s.unplanned(s.resetDeskConnections)},
+		{Name: "model names a limit", Target: "model", Weight: 2, Inject: s.unplanned(func(ctx context.Context, r *rand.Rand, target int) { s.nameLimit(ctx, r, s.models[target]) })},
+		{Name: "desk names a limit", Target: "desk", Weight: 2, Inject: s.unplanned(func(ctx context.Context, r *rand.Rand, target int) { s.nameLimit(ctx, r, s.desks[target]) })},
 		{Name: "drain desk and bring it back", Target: "desk", Weight: 2, Inject: s.drainDesk},
 		{Name: "rotate credential", Target: "config", Weight: 3, Inject: s.rotateCredential},
 		{Name: "rewrite configuration", Target: "config", Weight: 2, Inject: s.rewriteConfig},
@@ -180,6 +182,14 @@
 	d.update(func() { d.pendingResets = 0 })
 }
 
+// nameLimit makes a replica name a limit for a while. Afterwards it has to get requests
+// again: checkRecovery fails if all desks are left out.
+func (s *soak) nameLimit(ctx context.Context, random *rand.Rand, r *replica) {
+	r.update(func() { r.rateLimit = fmt.Sprintf("%.1f", 5*random.Float64()) })
+	pause.For(ctx, chaos.RandomDuration(random, 100*time.Millisecond, 4*time.Second))
+	r.update(func() { r.rateLimit = "" })
+}
+
 // drainDesk registers a desk as draining for a while, unless all other desks are
 // draining. The desk keeps serving.
 func (s *soak) drainDesk(ctx context.Context, random *rand.Rand, target int) {
