--- a/internal/blame/sync.go
+++ b/internal/blame/sync.go
@@ -6,11 +6,11 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -55,9 +55,6 @@
 // Error implements error.
 func (e *UnknownKeyError) Error() string { return "crash cause " + e.Key + " is not listed" }
 
-// String returns the key in hexadecimal.
-func (k Key) String() string { return strconv.FormatUint(uint64(k), 16) }
-
 // List returns the stored records that have not expired, and the version of the object.
 func List(ctx context.Context, store usher.Store) ([]StoredRecord, usher.Version, error) {
 	object, err := store.Get(ctx, ObjectKey)
@@ -140,7 +137,7 @@
 		select {
 		case <-t.nextSync(reading, err != nil && !errors.As(err, &malformed)):
 		case <-t.changed:
-			sleep(ctx, rand.N(maxWriteDelay))
+			pause.For(ctx, rand.N(maxWriteDelay))
 		case <-ctx.Done():
 		}
 	}
@@ -159,15 +156,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // syncOnce merges the stored records into the table, and stores the traits that are
 // blamed here and not there.
 func (t *Table) syncOnce(ctx context.Context, store usher.Store) error {
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -19,8 +19,8 @@
 // generation the one with more crashes. Clearing a request raises its generation.
 //
 // Companions run suspects alone, clear them and write the records to the store;
-// entries read them there. Gateway instances only count crashes, refuse requests
-// and exchange records with each other.
+// entries read them there. Gateway instances use package blame instead, which also finds
+// what different requests have in common.
 package suspect
 
 import (
