Wait for the stored blame of the part in TestBlameSurvivesRestartOfAllGateways

Cause: the test killed the gateways as soon as any blame was stored. A single request that crashed two replicas is blamed, and stored, before its part, and its response satisfies "the part is refused" as well.

Change: the test waits until the blame of the part is stored. What it requires after the restart is unchanged.

--- a/test/gateway/crash_part_test.go
+++ b/test/gateway/crash_part_test.go
@@ -4,10 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"filbertusher/internal/blame"
+	"filbertusher/platform"
 )
 
 // The bounds of the platform for prompt parts that crash replicas.
@@ -245,9 +249,14 @@
 	for _, g := range gateways {
 		c.eventually("the part is refused", func() bool { return refused(g) })
 	}
-	c.eventually("the blame is stored", func() bool {
-		_, stored := c.memory.Get("suspects/causes")
-		return stored
+	client := platform.NewClientAt(c.store.Listener.Addr().String())
+	// A single request that crashed two replicas is blamed, and stored, before the part.
+	c.eventually("the blame of the part is stored", func() bool {
+		records, _, err := blame.List(t.Context(), client)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return slices.ContainsFunc(records, func(r blame.StoredRecord) bool { return r.Label == crashPart && len(r.Crashes) > 0 })
 	})
 	for _, g := range gateways {
 		g.Process.Kill()
