Close an idle connection only if no request is read on it meanwhile

Callers on kept connections lost requests that a handler had taken ("unexpected EOF"), when a process stopped and whenever it closed idle connections.

Cause: a server that closes an idle connection looked whether bytes had arrived, in two steps: a flag that Read sets after the system call, and a look at the socket. A request that was read between the two, or between the look and the close, reached its handler on a connection that was then closed.

Change: reading bytes and setting the flag are one step, under a mutex that is not held while a read waits, and so are the look and the decision to close. Nothing is read after that decision.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -11,45 +13,115 @@
 	"golang.org/x/sys/unix"
 )
 
-// Conn is an accepted connection. received is set when bytes arrived since it was
-// accepted or became idle: a request on it may not have reached its handler yet, and
-// must not be cut.
+// Conn is an accepted connection.
 type Conn struct {
 	net.Conn
-	received atomic.Bool
+	// raw is the socket of Conn, or nil if it has none.
+	raw syscall.RawConn
+
+	// mu makes reading bytes and setting received one step for closeIfUnused. It is not
+	// held while a read waits for bytes.
+	mu sync.Mutex
+	// received is set when bytes arrived since the connection was accepted or became
+	// idle: a request on it may not have reached its handler yet, and must not be cut.
+	received bool
+	// closed is set by closeIfUnused. Nothing is read after that.
+	closed bool
+}
+
+func newConn(conn net.Conn) *Conn {
+	c := &Conn{Conn: conn}
+	if socket, ok := conn.(syscall.Conn); ok {
+		// Without a raw connection it is closed already, and reads say so.
+		c.raw, _ = socket.SyscallConn()
+	}
+	return c
 }
 
 func (c *Conn) tracked() *Conn { return c }
 
 // Read implements net.Conn.
 func (c *Conn) Read(buf []byte) (int, error) {
-	n, err := c.Conn.Read(buf)
-	if n > 0 {
-		c.received.Store(true)
+	if c.raw == nil || len(buf) == 0 {
+		n, err := c.Conn.Read(buf)
+		c.markReceived(n)
+		return n, err
+	}
+	var n int
+	var readErr error
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, readErr = c.readWaiting(int(fd), buf)
+		return !errors.Is(readErr, unix.EAGAIN)
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr != nil:
+		return 0, &net.OpError{Op: "read", Net: c.LocalAddr().Network(), Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: os.NewSyscallError("read", readErr)}
+	case n == 0:
+		return 0, io.EOF
+	default:
+		return n, nil
 	}
-	return n, err
 }
 
-// isUnused reports whether no byte of a request has arrived.
-func (c *Conn) isUnused() bool {
-	if c.received.Load() {
-		return false
+// readWaiting reads bytes that have arrived. It returns unix.EAGAIN if there are none,
+// and 0 at the end of the connection.
+func (c *Conn) readWaiting(fd int, buf []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, nil
 	}
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
+	for {
+		n, err := unix.Read(fd, buf)
+		if errors.Is(err, unix.EINTR) {
+			continue
+		}
+		c.received = c.received || n > 0
+		return max(n, 0), err
+	}
+}
+
+func (c *Conn) markReceived(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = c.received || n > 0
+}
+
+// setIdle notes that the connection has no request.
+func (c *Conn) setIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = false
+}
+
+// closeIfUnused closes the connection if no byte of a request has arrived, and reports
+// whether it did. No request is read after the decision.
+func (c *Conn) closeIfUnused() bool {
+	c.mu.Lock()
+	c.closed = c.closed || !c.received && c.isEmpty()
+	closed := c.closed
+	c.mu.Unlock()
+	if closed {
+		// An error means that the connection is closed already.
+		_ = c.Close()
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		// The connection is closed.
+	return closed
+}
+
+// isEmpty reports whether no byte waits to be read.
+func (c *Conn) isEmpty() bool {
+	if c.raw == nil {
 		return true
 	}
 	empty := true
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		var buf [1]byte
 		n, _, recvErr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		empty = n <= 0 && !errors.Is(recvErr, unix.EINTR)
 	})
+	// An error means that the connection is closed already.
 	return err != nil || empty
 }
 
@@ -81,7 +153,7 @@
 	conn, err := l.Listener.Accept()
 	switch {
 	case err == nil:
-		return l.wrap(&Conn{Conn: conn}), nil
+		return l.wrap(newConn(conn)), nil
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, err
 	case stopBy == nil:
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -145,7 +145,7 @@
 		delete(s.conns, c)
 		return
 	case http.StateIdle:
-		c.received.Store(false)
+		c.setIdle()
 	}
 	s.conns[c] = connState{state: state, since: time.Now()}
 }
@@ -158,10 +158,8 @@
 	for c, is := range s.conns {
 		idle := is.state == http.StateIdle && is.since.Before(idleSince)
 		fresh := is.state == http.StateNew && is.since.Before(newSince)
-		if (idle || fresh) && c.isUnused() {
+		if (idle || fresh) && c.closeIfUnused() {
 			delete(s.conns, c)
-			// An error means that the connection is closed already.
-			_ = c.Close()
 		}
 	}
 	return len(s.conns)
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -183,3 +183,38 @@
 		t.Error(err)
 	}
 }
+
+// A connection that is closed because it is idle is not closed under a request that the
+// handler gets.
+func TestCloseIdleCutsNoRequest(t *testing.T) {
+	fx := start(t, 0)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	var wait sync.WaitGroup
+	for caller := range 16 {
+		wait.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				conn, err := net.Dial("tcp", fx.address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				reader := bufio.NewReader(conn)
+				for sent := 0; err == nil && ctx.Err() == nil; sent++ {
+					path := fmt.Sprintf("/%d/%d/%d", caller, n, sent)
+					if _, err = exchange(conn, reader, path); err != nil && fx.wasHandled(path) {
+						t.Errorf("%s was cut: %v", path, err)
+					}
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	for ctx.Err() == nil {
+		fx.CloseIdle(time.Now())
+	}
+	wait.Wait()
+	if err := fx.stop(t, time.Second); err != nil {
+		t.Error(err)
+	}
+}
