Accept all connections that wait before the listener is closed

A planned stop reset connections that waited to be accepted, when callers kept reconnecting or the process got little time.

Cause: the backlog was shrunk so that the kernel would refuse further callers. It then dropped the last packet of handshakes that it had begun, so their callers held connections that were reset at the close, and those that got in arrived up to a second later, when a connection without a request was closed after 0.1 s. The listener was closed 0.5 s after the stop even if connections waited. And a connection that was accepted between two looks (none open, listener closed) was cut.

Change: the backlog stays. A stopping server accepts nothing for 0.1 s, so that callers that reconnect after each answer wait; accepts all that wait; stops listening with the next system call; and only then serves them. A connection without a request is closed after 0.3 s.

A filter on the socket is not available everywhere.

--- a/internal/drain/conn.go
+++ b/internal/drain/conn.go
@@ -6,9 +6,7 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -124,72 +122,3 @@
 	// An error means that the connection is closed already.
 	return err != nil || empty
 }
-
-const (
-	// acceptQuiet is the time without a new connection after which a stopping server
-	// closes its listener, and maxAcceptDrain how long it accepts connections at most.
-	// A caller whose last packet of the handshake was dropped sends again after 200 ms.
-	acceptQuiet    = 250 * time.Millisecond
-	maxAcceptDrain = 500 * time.Millisecond
-)
-
-// listener accepts connections. After stop it accepts those that are already waiting,
-// which would be reset when the listener is closed, and then reports that it is closed.
-type listener struct {
-	net.Listener
-	wrap func(*Conn) net.Conn
-	// stopBy is when no connection is accepted any more, or nil.
-	stopBy atomic.Pointer[time.Time]
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	stopBy := l.stopBy.Load()
-	if stopBy != nil {
-		if err := l.setDeadline(*stopBy); err != nil {
-			return nil, err
-		}
-	}
-	conn, err := l.Listener.Accept()
-	switch {
-	case err == nil:
-		return l.wrap(newConn(conn)), nil
-	case !errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, err
-	case stopBy == nil:
-		// stop has set the deadline. Accepts the connections that are waiting.
-		return l.Accept()
-	default:
-		return nil, net.ErrClosed
-	}
-}
-
-// setDeadline bounds the next call of Accept. A listener without deadlines is closed.
-func (l *listener) setDeadline(stopBy time.Time) error {
-	bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error })
-	if !ok {
-		return l.Close()
-	}
-	deadline := time.Now().Add(acceptQuiet)
-	if stopBy.Before(deadline) {
-		deadline = stopBy
-	}
-	return bounded.SetDeadline(deadline)
-}
-
-// stop makes Accept return an error once no connection waits any more. Until then the
-// kernel drops the packets that open further ones, so that their callers find the
-// address closed rather than a connection that is reset.
-func (l *listener) stop() {
-	if socket, ok := l.Listener.(syscall.Conn); ok {
-		if raw, err := socket.SyscallConn(); err == nil {
-			// If this fails, some connections may be reset.
-			_ = raw.Control(func(fd uintptr) { _ = unix.Listen(int(fd), 0) })
-		}
-	}
-	stopBy := time.Now().Add(maxAcceptDrain)
-	l.stopBy.Store(&stopBy)
-	if err := l.setDeadline(stopBy); err != nil && !errors.Is(err, net.ErrClosed) {
-		_ = l.Close()
-	}
-}
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -18,12 +18,12 @@
 
 // AcceptTime is how long after the start of Shutdown requests may still be taken: on
 // connections that waited to be accepted.
-const AcceptTime = maxAcceptDrain + newConnGrace
+const AcceptTime = acceptPause + newConnGrace
 
 const (
 	// newConnGrace is how long a stopping server waits for the first request on a
 	// connection.
-	newConnGrace = 100 * time.Millisecond
+	newConnGrace = 300 * time.Millisecond
 	// checkInterval is how often a stopping server looks for connections that it can
 	// close.
 	checkInterval = 20 * time.Millisecond
@@ -95,7 +95,9 @@
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		if open := s.closeUnused(now, now.Add(-newConnGrace)); open == 0 && s.stoppedAccepting() {
+		// In this order: a connection that is accepted in between is counted.
+		stopped := s.stoppedAccepting()
+		if open := s.closeUnused(now, now.Add(-newConnGrace)); stopped && open == 0 {
 			return s.http.Close()
 		}
 		select {
--- /dev/null
+++ b/internal/drain/listener.go
@@ -0,0 +1,130 @@
+package drain
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// acceptPause is how long a stopping server accepts no connections before it accepts
+	// all that wait and closes its listener. Callers that reconnect after each response
+	// wait by then, so that hardly any connection arrives between the two.
+	acceptPause = 100 * time.Millisecond
+	// maxAcceptWaiting bounds the connections that are accepted at the end. It is the
+	// usual length of the queue.
+	maxAcceptWaiting = 4096
+)
+
+// listener accepts connections. After stop it accepts those that are already waiting,
+// which would be reset when the listener is closed, and then reports that it is closed.
+type listener struct {
+	net.Listener
+	wrap     func(*Conn) net.Conn
+	stopping atomic.Bool
+	// last holds the connections that were accepted when the listener was closed and that
+	// Accept has not returned yet. isClosed and last belong to the caller of Accept.
+	isClosed bool
+	last     []net.Conn
+}
+
+// Accept implements net.Listener. It must not be called concurrently.
+func (l *listener) Accept() (net.Conn, error) {
+	if l.stopping.Load() {
+		return l.acceptLast()
+	}
+	conn, err := l.Listener.Accept()
+	switch {
+	case err == nil:
+		return l.wrap(newConn(conn)), nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		// stop has set the deadline.
+		return l.Accept()
+	default:
+		return nil, err
+	}
+}
+
+// acceptLast returns the connections that wait when the listener is closed, and
+// net.ErrClosed after them.
+func (l *listener) acceptLast() (net.Conn, error) {
+	if !l.isClosed {
+		l.isClosed = true
+		time.Sleep(acceptPause)
+		var err error
+		l.last, err = l.acceptWaiting()
+		if err := errors.Join(err, l.Close()); err != nil && len(l.last) == 0 {
+			return nil, err
+		}
+	}
+	if len(l.last) == 0 {
+		return nil, net.ErrClosed
+	}
+	conn := l.last[0]
+	l.last = l.last[1:]
+	return l.wrap(newConn(conn)), nil
+}
+
+// acceptWaiting accepts the connections that wait and stops listening right after.
+func (l *listener) acceptWaiting() ([]net.Conn, error) {
+	socket, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	var fds []int
+	var acceptErr, shutdownErr error
+	err = raw.Control(func(fd uintptr) {
+		for len(fds) < maxAcceptWaiting {
+			accepted, _, err := unix.Accept4(int(fd), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
+				continue
+			}
+			if err != nil {
+				acceptErr = err
+				break
+			}
+			fds = append(fds, accepted)
+		}
+		shutdownErr = unix.Shutdown(int(fd), unix.SHUT_RD)
+	})
+	if errors.Is(acceptErr, unix.EAGAIN) {
+		acceptErr = nil
+	}
+	err = errors.Join(err, os.NewSyscallError("accept4", acceptErr), os.NewSyscallError("shutdown", shutdownErr))
+	conns := make([]net.Conn, 0, len(fds))
+	for _, fd := range fds {
+		conn, connErr := connOf(fd)
+		if connErr != nil {
+			err = errors.Join(err, connErr)
+			continue
+		}
+		conns = append(conns, conn)
+	}
+	return conns, err
+}
+
+// connOf returns the connection of a socket, which it takes over.
+func connOf(fd int) (net.Conn, error) {
+	file := os.NewFile(uintptr(fd), "")
+	conn, err := net.FileConn(file)
+	return conn, errors.Join(err, file.Close())
+}
+
+// stop makes Accept return the connections that wait, and then net.ErrClosed.
+func (l *listener) stop() {
+	l.stopping.Store(true)
+	// This ends the call of Accept in progress.
+	if bounded, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); !ok || bounded.SetDeadline(time.Now()) != nil {
+		// If this fails, it is closed already.
+		_ = l.Close()
+	}
+}
