Wait until a frozen process is suspended in the scripted tests

TestScripts/holder_frozen and frozen_before_dispatch failed under load: an order got "502 endpointFailed, unknown" in place of its booking.

Cause: the scripts sent SIGSTOP and went on. The signal takes effect once the thread that receives it is scheduled, and the other threads run until then; on a busy machine that took long enough for the holder to book an order that was sent after the freeze. In one log the holder answered the first order in 26 ms although it had been frozen before, and its outcome, which is stored a second later, was unknown to the successor, as docs/design/outcomes.md says. The product's answer was right, the order of events was not the one that the script describes.

Change: fleet.Process.Freeze sends SIGSTOP and waits until all threads are suspended. The scripts of test/outcome, control, path and record use it; what they require is unchanged. Soaks still send the bare signal.

--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"os"
 	"os/exec"
@@ -14,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // startTimeout bounds the time a process takes to log its addresses.
@@ -53,6 +56,21 @@
 	return "process " + e.Name + " did not log " + e.Event + " in time:\n" + e.Log
 }
 
+// FreezeError is returned if a process could not be suspended, for example because it
+// has exited.
+type FreezeError struct {
+	Name  string
+	Cause error
+}
+
+// Error implements error.
+func (e *FreezeError) Error() string {
+	return "process " + e.Name + " is not suspended: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *FreezeError) Unwrap() error { return e.Cause }
+
 // Start starts a program and collects its standard output and standard error as
 // its log.
 func Start(name, binary string, args ...string) (*Process, error) {
@@ -155,7 +173,31 @@
 // PID returns the process ID.
 func (p *Process) PID() int { return p.command.Process.Pid }
 
-// Signal sends a signal, for example SIGSTOP to suspend the process.
+// freezeTimeout bounds the time until a signalled process is suspended.
+const freezeTimeout = 10 * time.Second
+
+// Freeze suspends the process and waits until all its threads are suspended. On a busy
+// machine they may run on for a while after the signal was sent.
+func (p *Process) Freeze() error {
+	p.Signal(syscall.SIGSTOP)
+	for deadline := time.Now().Add(freezeTimeout); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		var info unix.Siginfo
+		err := unix.Waitid(unix.P_PID, p.PID(), &info, unix.WSTOPPED|unix.WNOHANG, nil)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case err != nil:
+			return &FreezeError{Name: p.Name, Cause: os.NewSyscallError("waitid", err)}
+		case info.Signo == int32(syscall.SIGCHLD):
+			return nil
+		}
+	}
+	return &FreezeError{Name: p.Name, Cause: context.DeadlineExceeded}
+}
+
+// Resume lets a suspended process run again.
+func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
+
+// Signal sends a signal. Use Freeze for SIGSTOP if what follows relies on its effect.
 func (p *Process) Signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
 
 // Kill kills the process and waits until it has exited.
--- a/test/control/control_test.go
+++ b/test/control/control_test.go
@@ -12,7 +12,6 @@
 	"sort"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -177,16 +176,16 @@
 	return "", err
 }
 
-// process implements "process NAME freeze|resume|kill|stop". freeze sends SIGSTOP,
-// resume SIGCONT, and stop is a graceful stop that prints the exit status.
+// process implements "process NAME freeze|resume|kill|stop". stop is a graceful stop
+// that prints the exit status.
 func (s *script) process(d *datadriven.TestData) (string, error) {
 	name := d.CmdArgs[0].Key
 	member := s.processes[name]
 	switch d.CmdArgs[1].Key {
 	case "freeze":
-		member.Signal(syscall.SIGSTOP)
+		return "", member.Freeze()
 	case "resume":
-		member.Signal(syscall.SIGCONT)
+		member.Resume()
 	case "kill":
 		member.Kill()
 		delete(s.processes, name)
--- a/test/outcome/outcome_test.go
+++ b/test/outcome/outcome_test.go
@@ -14,7 +14,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -283,9 +282,8 @@
 	return nil, fmt.Errorf("there is no process with name %s", name)
 }
 
-// process implements "process kill|freeze|resume|stop NAME". freeze sends SIGSTOP,
-// resume SIGCONT, and stop is a graceful stop that waits until the process has
-// exited.
+// process implements "process kill|freeze|resume|stop NAME". stop is a graceful stop
+// that waits until the process has exited.
 func (s *script) process(_ *testing.T, d *datadriven.TestData) (string, error) {
 	member, err := s.findProcess(d.CmdArgs[1].Key)
 	if err != nil {
@@ -295,9 +293,9 @@
 	case "kill":
 		member.Kill()
 	case "freeze":
-		member.Signal(syscall.SIGSTOP)
+		return "", member.Freeze()
 	case "resume":
-		member.Signal(syscall.SIGCONT)
+		member.Resume()
 	case "stop":
 		return "", member.Stop()
 	}
--- a/test/path/faults_test.go
+++ b/test/path/faults_test.go
@@ -11,7 +11,6 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -404,9 +403,9 @@
 		case "kill":
 			member.Kill()
 		case "freeze":
-			member.Signal(syscall.SIGSTOP)
+			return "", member.Freeze()
 		case "resume":
-			member.Signal(syscall.SIGCONT)
+			member.Resume()
 		}
 		return "", nil
 	}
--- a/test/record/record_test.go
+++ b/test/record/record_test.go
@@ -304,13 +304,15 @@
 func TestFrozenEntry(t *testing.T) {
 	f := newFixture(t, fleet.Plan{Entries: 1, Engines: [][]string{{}}, EntryArgs: []string{"--record-interval", "30s"}})
 	results := []callerResult{f.sendChat(), f.sendChat()}
-	f.Entries[0].Signal(syscall.SIGSTOP)
+	if err := f.Entries[0].Freeze(); err != nil {
+		f.Fatal(err)
+	}
 	for id, line := range f.awaitRecord(results...) {
 		if line.View != usher.ViewCompanion {
 			t.Errorf("request %s was stored by the %s, want the companion", id, line.View)
 		}
 	}
-	f.Entries[0].Signal(syscall.SIGCONT)
+	f.Entries[0].Resume()
 	if err := f.Entries[0].Stop(); err != nil {
 		t.Error(err)
 	}
