Keep the error of a broken stream when it can't be resumed

A streamed request whose engine crashed was told "not run" though the engine had begun to answer it, and the crash was not counted: the request crashed an engine each time it was sent. An entry that had lost the first reply could take "not run" for leave to run it elsewhere.

Cause: a companion resumes a broken stream up to three times within 0.2 s. If the engine takes longer to come back, the last attempt ends with "connection refused", which says of itself that it has not reached the engine. That error replaced the one of the break, so the outcome became "not run", and the look for a crash ended at once. Tests missed it because their engines come back in time, sit behind a proxy that still accepts connections, or don't stream. Answers that are not streamed keep the first error (recoverResponse).

Change: a failed attempt to resume leaves the error of the break; it is logged. The stand-in engine can crash halfway through an answer.

--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -78,7 +78,7 @@
 	err := reader.copy(ctx, stream)
 	for attempt := 0; err != nil && ctx.Err() == nil && attempt < resumeAttempts; attempt++ {
 		before := reader.nextOffset
-		err = e.resume(ctx, reader)
+		err = e.resume(ctx, reader, err)
 		if reader.nextOffset > before {
 			attempt = 0
 		}
@@ -86,11 +86,14 @@
 	e.endStream(ctx, reader, err)
 }
 
-func (e *execution) resume(ctx context.Context, reader *streamReader) error {
+// resume continues a stream that broke with an error. If the endpoint can't resume it,
+// that error remains, because it says that the request has reached the endpoint.
+func (e *execution) resume(ctx context.Context, reader *streamReader, broken error) error {
 	pause.For(ctx, resumeDelay)
 	stream, err := e.companion.Backend.Resume(ctx, e.args.Header.ID, reader.nextOffset)
 	if err != nil {
-		return err
+		e.companion.Log.Debug().Err(err).Str("requestId", string(e.args.Header.ID)).Msg("streamNotResumed")
+		return broken
 	}
 	e.companion.metrics.resumed(1)
 	return reader.copy(ctx, stream)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -17,6 +17,10 @@
 // contains it.
 const CrashMarker = "CRASH-THE-ENGINE"
 
+// CrashHalfwayMarker is a text that crashes the engine when it has computed half of the
+// answer to a prompt that contains it.
+const CrashHalfwayMarker = "CRASH-HALFWAY"
+
 // Speed sets the computing speed of the simulated hardware and the size of its
 // batches.
 type Speed struct {
@@ -206,6 +210,11 @@
 			r.decodesInStep = false
 			e.totals.DecodeTokens++
 			r.addToken()
+			if r.crashesHalfway && r.isHalfway() {
+				e.crashed = true
+				go e.crash()
+				return
+			}
 		}
 		if r.prefillLeft == 0 && !r.cacheInserted {
 			r.cacheInserted = true
--- a/internal/standin/engine/request.go
+++ b/internal/standin/engine/request.go
@@ -19,12 +19,13 @@
 // to the request; seed is the hash of the prompt. blocks holds the chained hashes
 // of the prompt's complete blocks.
 type request struct {
-	id            string
-	promptTokens  usher.Tokens
-	answerTokens  int
-	seed          uint64
-	blocks        []uint64
-	crashesEngine bool
+	id             string
+	promptTokens   usher.Tokens
+	answerTokens   int
+	seed           uint64
+	blocks         []uint64
+	crashesEngine  bool
+	crashesHalfway bool
 
 	// Guarded by Engine.mu.
 	prefillLeft   usher.Tokens
@@ -43,13 +44,14 @@
 
 func newRequest(id, prompt string, answerTokens int) *request {
 	return &request{
-		id:            id,
-		promptTokens:  max(1, usher.EstimateTokens(len(prompt))),
-		answerTokens:  max(1, answerTokens),
-		seed:          xxhash.Sum64String(prompt),
-		blocks:        blockHashes(prompt),
-		crashesEngine: strings.Contains(prompt, CrashMarker),
-		changed:       make(chan struct{}),
+		id:             id,
+		promptTokens:   max(1, usher.EstimateTokens(len(prompt))),
+		answerTokens:   max(1, answerTokens),
+		seed:           xxhash.Sum64String(prompt),
+		blocks:         blockHashes(prompt),
+		crashesEngine:  strings.Contains(prompt, CrashMarker),
+		crashesHalfway: strings.Contains(prompt, CrashHalfwayMarker),
+		changed:        make(chan struct{}),
 	}
 }
 
@@ -85,6 +87,13 @@
 	r.notify()
 }
 
+// isHalfway reports whether half of the answer's tokens exist.
+func (r *request) isHalfway() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return 2*len(r.tokens) >= r.answerTokens
+}
+
 func (r *request) cancel() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/test/outcome/crash_test.go
+++ b/test/outcome/crash_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"filbertusher/internal/pause"
 	"filbertusher/internal/standin/engine"
 	"filbertusher/internal/standin/fleet"
 	"filbertusher/internal/standin/store"
@@ -21,21 +22,22 @@
 )
 
 // restartingCluster is a running cluster that restarts each crashed engine at the
-// same address.
+// same address, after a delay.
 type restartingCluster struct {
 	t       *testing.T
 	ctx     context.Context
 	cluster *fleet.Deployment
+	delay   time.Duration
 	crashes atomic.Int64
 }
 
-func newRestartingCluster(ctx context.Context, t *testing.T) *restartingCluster {
+func newRestartingCluster(ctx context.Context, t *testing.T, delay time.Duration) *restartingCluster {
 	engineArgs := []string{"--decode-step", "5ms"}
 	cluster, err := fleet.Deploy(ctx, binaries, fleet.Plan{Entries: 2, Engines: [][]string{engineArgs, engineArgs}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &restartingCluster{t: t, ctx: ctx, cluster: cluster}
+	c := &restartingCluster{t: t, ctx: ctx, cluster: cluster, delay: delay}
 	var restarting sync.WaitGroup
 	restartCtx, stop := context.WithCancel(ctx)
 	t.Cleanup(func() {
@@ -62,6 +64,7 @@
 		case <-ctx.Done():
 			return
 		}
+		pause.For(ctx, c.delay)
 		restarted, err := c.cluster.Engine(crashing.Name, "--model", string(fleet.Model), "--decode-step", "5ms", "--listen", address)
 		if err != nil {
 			c.t.Error(err)
@@ -84,18 +87,9 @@
 // of the refusal, or the transport error.
 func (c *restartingCluster) sendChat(entry int, prompt string, tokens int) string {
 	c.t.Helper()
-	body, err := json.Marshal(engine.ChatRequest{
+	response, err := c.post(entry, engine.ChatRequest{
 		Model: string(fleet.Model), MaxTokens: tokens, Messages: []engine.Message{{Role: "user", Content: prompt}},
 	})
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	request, err := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+c.cluster.Entries[entry].Address+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	request.Header.Set("Authorization", "Bearer "+fleet.TokenOf(fleet.Regenfass))
-	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return err.Error()
 	}
@@ -109,6 +103,45 @@
 	return string(refusal.Error.Kind)
 }
 
+// sendStream sends a chat request whose response is streamed. It returns "answered", or
+// the kind and the outcome of the refusal before or at the end of the stream.
+func (c *restartingCluster) sendStream(entry int, prompt string, tokens int) string {
+	c.t.Helper()
+	response, err := c.post(entry, engine.ChatRequest{
+		Model: string(fleet.Model), MaxTokens: tokens, Stream: true, Messages: []engine.Message{{Role: "user", Content: prompt}},
+	})
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	// A broken stream ends with an error, after its refusal.
+	responseBody, _ := io.ReadAll(response.Body)
+	if bytes.Contains(responseBody, []byte("data: [DONE]")) {
+		return "answered"
+	}
+	var refusal struct{ Error usher.Refusal }
+	lines := strings.Split(strings.TrimSpace(string(responseBody)), "\n")
+	last := strings.TrimPrefix(lines[len(lines)-1], "data: ")
+	if err := json.Unmarshal([]byte(last), &refusal); err != nil {
+		return "malformed end " + last
+	}
+	return string(refusal.Error.Kind) + ", " + string(refusal.Error.Outcome)
+}
+
+func (c *restartingCluster) post(entry int, chat engine.ChatRequest) (*http.Response, error) {
+	c.t.Helper()
+	body, err := json.Marshal(chat)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	request, err := http.NewRequestWithContext(c.ctx, http.MethodPost, "http://"+c.cluster.Entries[entry].Address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+fleet.TokenOf(fleet.Regenfass))
+	return http.DefaultClient.Do(request)
+}
+
 // awaitSuspects polls "suspects list" until it lists that many suspects, and
 // returns the output.
 func (c *restartingCluster) awaitSuspects(want int) string {
@@ -153,7 +186,7 @@
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	c := newRestartingCluster(ctx, t)
+	c := newRestartingCluster(ctx, t, 0)
 	if err := c.cluster.Store.PutControl(ctx, "faults", store.Faults{Down: true}); err != nil {
 		t.Fatal(err)
 	}
@@ -206,6 +239,33 @@
 	c.awaitCrashes(3)
 }
 
+// TestCrashingStream sends a request that crashes every engine after it has begun to
+// stream the response. It must be refused once it has crashed two engines, and not be
+// said not to have run.
+func TestCrashingStream(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	c := newRestartingCluster(ctx, t, time.Second)
+	if got := c.sendStream(0, "which pump fits?", 4); got != "answered" {
+		t.Fatalf("a harmless request got %s", got)
+	}
+	const requests = 6
+	for i := range requests {
+		got := c.sendStream(i%2, "please "+engine.CrashHalfwayMarker, 40)
+		if strings.HasPrefix(got, string(usher.RefusalCrashSuspect)) {
+			break
+		}
+		if want := string(usher.RefusalEndpointFailed) + ", " + string(usher.OutcomeUnknown); got != want {
+			t.Errorf("a request that crashed an engine got %s, want %s", got, want)
+		}
+		c.awaitCrashes(int64(i + 1))
+	}
+	if got := c.crashes.Load(); got != 2 {
+		t.Errorf("the request crashed %d engines, want 2", got)
+	}
+}
+
 // TestCrashingPrefix sends requests of which no two are alike and which share the
 // beginning of their prompt, under which engines crash, beside harmless ones that share
 // an earlier part of it. The entries must find out and refuse the former.
@@ -213,7 +273,7 @@
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	c := newRestartingCluster(ctx, t)
+	c := newRestartingCluster(ctx, t, 0)
 	instructions := strings.Repeat("answer in one word. ", 60)
 	manual := strings.Repeat("the pump has three seals. ", 60)
 	for entry := range 2 {
