Repeat a cancellation until the endpoint takes it

A request that was given up while its engine could not be reached, or answered too late, kept its place in the engine until it was complete.

Cause: a companion asked the engine once to cancel a request, within 2 s. If that call failed it was logged and forgotten. An error status (429, 5xx) counted as success.

--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -68,6 +68,7 @@
 	issuer       *ticket.Issuer
 	ticketSlot   *journal.Slot
 	runLock      *suspect.RunLock
+	canceller    *canceller
 	crashes      crashCounter
 	// stopping is set by a planned shutdown, which can't be cancelled.
 	stopping atomic.Bool
@@ -96,6 +97,7 @@
 		reservations: newReservations(),
 		issuer:       ticket.NewIssuer(ticket.Owner{Endpoint: options.Endpoint, Incarnation: options.Incarnation}),
 		runLock:      suspect.NewRunLock(),
+		canceller:    newCanceller(dependencies.Backend.Cancel, dependencies.Log),
 		crashes:      crashCounter{endpoint: options.Endpoint, incarnation: options.Incarnation},
 		ticketSlot:   journal.NewLocalSlot(options.TicketLifetime+options.TicketRetention, options.MaxUsedTickets),
 		drain:        newDrain(),
--- a/internal/companion/execution.go
+++ b/internal/companion/execution.go
@@ -11,11 +11,6 @@
 	"filbertusher/pkg/usher"
 )
 
-const (
-	// cancelTimeout bounds the call that cancels a request at the endpoint.
-	cancelTimeout = 2 * time.Second
-)
-
 // execution is the run of one request, from its admission to its result.
 type execution struct {
 	companion *Companion
@@ -142,10 +137,4 @@
 
 // cancelAtEndpoint cancels a failed request at the endpoint, so that the endpoint
 // does not compute a response that is not needed.
-func (e *execution) cancelAtEndpoint() {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	if err := e.companion.Backend.Cancel(ctx, e.backendRequestID()); err != nil {
-		e.companion.Log.Debug().Err(err).Str("requestId", string(e.args.Header.ID)).Msg("cancelFailed")
-	}
-}
+func (e *execution) cancelAtEndpoint() { e.companion.canceller.cancel(e.backendRequestID()) }
--- a/internal/endpoint/model.go
+++ b/internal/endpoint/model.go
@@ -114,6 +114,9 @@
 		return err
 	}
 	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusInternalServerError || response.StatusCode == http.StatusTooManyRequests {
+		return &usher.BackendError{Operation: "cancel", Reached: true, Cause: &StatusError{Status: response.StatusCode}}
+	}
 	return nil
 }
 
