Ask for crashes elsewhere before a request with a crash runs again

A request that crashes engines crashed a third one, when the caller was faster than the news of the second crash.

Cause: crashes travel on the replies of companions. The caller's third attempt came to an entry that knew of the first crash only, because the reply with the second had gone to another entry. The trace: companion 0 saw the second crash, the other entry answered 5 ms later, and the first entry had sent the third attempt to companion 1, where it waited 1.2 s to run alone and then crashed that engine.

Change: an entry that knows of a crash of a request asks all companions that it can reach before it sends the request again, for a second at most. Requests that wait share an inquiry, which begins after they came. An entry that knows of no crash asks nobody; docs/design/outcomes.md says what that leaves.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -63,7 +63,7 @@
 	if peer == nil {
 		return result{}, false
 	}
-	if refusal := e.checkCrashLimit(req); refusal != nil {
+	if refusal := e.checkCrashLimit(ctx, req); refusal != nil {
 		return refusalResult(refusal), true
 	}
 	req.Attempt++
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,6 +71,7 @@
 	metrics            metrics
 	inFlight           inFlightRequests
 	recentDecisions    decisionLog
+	crashInquiry       inquiry
 }
 
 // metrics holds the functions that add to the entry's counters. outcomesResolved
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -87,7 +87,7 @@
 // known or its deadline has passed. It continues after the caller disconnects,
 // because the caller can get the outcome by sending the key again.
 func (e *Entry) dispatchKeyed(ctx context.Context, req *request) result {
-	if refusal := e.checkCrashLimit(req); refusal != nil {
+	if refusal := e.checkCrashLimit(ctx, req); refusal != nil {
 		return refusalResult(refusal)
 	}
 	req.refusalsCoverKey = true
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -117,6 +119,13 @@
 	return connected
 }
 
+// list returns the peers.
+func (p *peerSet) list() []*peer {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return slices.Collect(maps.Values(p.byName))
+}
+
 func (p *peerSet) closeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
