Resume a stream as often after progress as before it

Cause: the count of attempts was set to 0 after one that made progress, and then raised by the loop, so that two attempts were left of three. The same in recoverResponse, for answers that are not streamed.

Change: the count of failures is raised before the attempt is judged.

--- a/internal/companion/drain_test.go
+++ b/internal/companion/drain_test.go
@@ -49,11 +49,19 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{holder: config.NewHolder(), backend: &blockingBackend{started: make(chan struct{}, 9), release: make(chan struct{})}}
+	backend := &blockingBackend{started: make(chan struct{}, 9), release: make(chan struct{})}
+	f := newFixtureWith(t, backend)
+	f.backend = backend
+	return f
+}
+
+func newFixtureWith(t *testing.T, backend usher.Backend) *fixture {
+	t.Helper()
+	f := &fixture{holder: config.NewHolder()}
 	f.Companion = companion.New(companion.Options{Endpoint: "e", Incarnation: "i", MaxCrashes: 1}, companion.Dependencies{
 		// The journal holds no key slot, so it needs neither a store nor a prober.
 		Journal: journal.NewSlotTable(journal.Options{}, nil, nil), Suspects: suspect.NewTable(), Blame: blame.New(time.Now, func(blame.Trait, int) {}),
-		Config: f.holder, Backend: f.backend, Admission: admission.New("e", admission.Options{MaxRunning: 1, MaxWaiting: 9}),
+		Config: f.holder, Backend: backend, Admission: admission.New("e", admission.Options{MaxRunning: 1, MaxWaiting: 9}),
 		Ledger: ledger.New(time.Minute), Fence: func() usher.FencingToken { return 1 }, RecordReplica: unboundedReplica{}, Log: zerolog.Nop(),
 	})
 	f.rpc = companion.NewRPC(f.Companion)
--- a/internal/companion/stream.go
+++ b/internal/companion/stream.go
@@ -76,11 +76,12 @@
 		digest: sha256.New(), slot: slot, lastEventAt: started, promptTokens: e.args.Header.Cost.PromptTokens,
 	}
 	err := reader.copy(ctx, stream)
-	for attempt := 0; err != nil && ctx.Err() == nil && attempt < resumeAttempts; attempt++ {
+	for failures := 0; err != nil && ctx.Err() == nil && failures < resumeAttempts; {
 		before := reader.nextOffset
 		err = e.resume(ctx, reader, err)
+		failures++
 		if reader.nextOffset > before {
-			attempt = 0
+			failures = 0
 		}
 	}
 	e.endStream(ctx, reader, err)
--- a/internal/endpoint/assemble.go
+++ b/internal/endpoint/assemble.go
@@ -128,12 +128,13 @@
 func (m *ModelClient) recoverResponse(ctx context.Context, id usher.RequestID, cause error) (*usher.Response, error) {
 	var builder completionBuilder
 	var next uint64
-	for attempt := 0; attempt < recoverAttempts; attempt++ {
+	for failures := 0; failures < recoverAttempts; {
 		select {
 		case <-time.After(recoverDelay):
 		case <-ctx.Done():
 			return nil, cause
 		}
+		failures++
 		stream, err := m.Resume(ctx, id, next)
 		if err != nil {
 			continue
@@ -147,7 +148,7 @@
 		case errors.As(err, &chunkErr):
 			return nil, cause
 		case next > before:
-			attempt = 0
+			failures = 0
 		}
 	}
 	return nil, cause
