Tell a keyed request that may not wait that the endpoint is full

Cause: admission returns neither slot nor refusal then, which the path for keys took for a refusal.

Change: the reply is "busy", as for requests without a key; the key stays free.

--- a/internal/companion/drain_test.go
+++ b/internal/companion/drain_test.go
@@ -58,7 +58,9 @@
 func newFixtureWith(t *testing.T, backend usher.Backend) *fixture {
 	t.Helper()
 	f := &fixture{holder: config.NewHolder()}
-	f.Companion = companion.New(companion.Options{Endpoint: "e", Incarnation: "i", MaxCrashes: 1}, companion.Dependencies{
+	f.Companion = companion.New(companion.Options{
+		Endpoint: "e", Incarnation: "i", MaxCrashes: 1, TicketLifetime: time.Minute, TicketRetention: time.Minute, MaxUsedTickets: 9,
+	}, companion.Dependencies{
 		// The journal holds no key slot, so it needs neither a store nor a prober.
 		Journal: journal.NewSlotTable(journal.Options{}, nil, nil), Suspects: suspect.NewTable(), Blame: blame.New(time.Now, func(blame.Trait, int) {}),
 		Config: f.holder, Backend: backend, Admission: admission.New("e", admission.Options{MaxRunning: 1, MaxWaiting: 9}),
--- a/internal/companion/keyed.go
+++ b/internal/companion/keyed.go
@@ -207,8 +207,13 @@
 	return e.dispatchDetached(admitted)
 }
 
-// notAdmitted ends a request that was not admitted.
+// notAdmitted ends a request that was not admitted. A nil refusal means that the
+// endpoint was busy; key and ID then stay free for a later attempt.
 func (e *keyedExecution) notAdmitted(refusal *usher.Refusal) wire.SubmitReply {
+	if refusal == nil {
+		e.key.Finish(nil, usher.NewAttemptRefusal(usher.RefusalOverloaded, "the endpoint is full"))
+		return e.companion.notAdmitted(e.request, nil)
+	}
 	if refusal.Kind == usher.RefusalLeaving {
 		return e.redirectToSuccessor()
 	}
