Keep the grace period of an entry that collects while its timer fires

Cause: the timer of an entry's queue can fire while a Collect begins. It then found the entry alive but noted that the grace period had begun, and the next silence of 10 s ended the entry's requests without those 3 s. Entries that meet a companion which was suspended do just that.

Change: the grace period begins only for an entry that is silent.

Measured: TestExpiryDuringCollectKeepsGrace, which is new, failed before.

--- a/internal/companion/event_queue.go
+++ b/internal/companion/event_queue.go
@@ -85,14 +85,13 @@
 // collectTimeout and expiryGrace.
 func (q *eventQueue) expire(onExpire func(*eventQueue)) {
 	q.mu.Lock()
-	alive := q.activeCollects > 0
-	first := !q.expiring
-	q.expiring = true
-	if !alive && first {
+	alive, ended := q.activeCollects > 0, q.expiring
+	if !alive && !ended {
+		q.expiring = true
 		q.idleTimer.Reset(expiryGrace)
 	}
 	q.mu.Unlock()
-	if !alive && !first {
+	if !alive && ended {
 		q.cancel()
 		onExpire(q)
 	}
