Store all batches at a planned stop, also if the store is slow

Decisions of an entry that was stopped in order were lost without a log line, if their batches took more than a minute to store.

Cause: one attempt to store batches ends without an error after a minute, which Recorder.Close took for success. It neither stored the others nor handed them to companions.

Change: Close goes on while batches are left, until its context is done.

--- a/internal/record/failure_test.go
+++ b/internal/record/failure_test.go
@@ -7,11 +7,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
+	"filbertusher/internal/pause"
 	"filbertusher/internal/peerrpc"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
@@ -25,9 +27,11 @@
 	objects     map[usher.ObjectKey][]byte
 	unavailable bool
 	lostReplies int
+	writeTime   time.Duration
 }
 
-func (s *memoryStore) Put(_ context.Context, key usher.ObjectKey, _ usher.Version, value []byte) (usher.Version, error) {
+func (s *memoryStore) Put(ctx context.Context, key usher.ObjectKey, _ usher.Version, value []byte) (usher.Version, error) {
+	pause.For(ctx, s.writeTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
@@ -230,3 +234,28 @@
 		}
 	})
 }
+
+// A planned stop stores all batches, also if that takes longer than one attempt to store
+// them may.
+func TestCloseWithSlowStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &memoryStore{objects: make(map[usher.ObjectKey][]byte), writeTime: closeDrainTimeout / 4}
+		recorder := NewRecorder(RecorderOptions{BatchInterval: time.Hour, WritesPerSecond: 1e9, MaxBacklogBytes: 1 << 30}, store, "entry", zerolog.Nop())
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		const batches = 10
+		for i := range batches {
+			recorder.chain.add(&usher.Decision{ID: usher.RequestID(fmt.Sprint("r", i)), Time: time.Now()}, nil)
+			recorder.chain.Seal(nil, false)
+		}
+		close(recorder.stopped)
+		closeCtx, cancelClose := context.WithTimeout(ctx, 10*closeDrainTimeout)
+		defer cancelClose()
+		if !recorder.Close(closeCtx) {
+			t.Error("Close gave up")
+		}
+		if left := recorder.chain.unstoredBatches(); len(left) != 0 {
+			t.Errorf("%d batches were left behind", len(left))
+		}
+	})
+}
--- a/internal/record/run.go
+++ b/internal/record/run.go
@@ -251,6 +251,10 @@
 	r.chain.Seal(r.takeSeenHeads(), true)
 	for {
 		err := r.chain.Drain(ctx, 0, closeDrainTimeout, r.onStored)
+		if err == nil && len(r.chain.unstoredBatches()) > 0 {
+			// The attempt has taken its time, and the store takes batches.
+			continue
+		}
 		if err == nil {
 			_ = r.chain.storeIndex(ctx, true)
 			r.sendReleases(ctx)
