Let a failing listener not end Serve while the server stops

Change: Serve ends as usual, and Shutdown returns the error once all requests are answered.

Measured: TestShutdownReturnsListenerError, which is new, failed before; internal/drain passed twice with the race detector.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -85,10 +85,12 @@
 func (s *Server) Draining() bool { return s.draining.Load() }
 
 // Shutdown stops accepting connections and closes each one that has no request, until
-// none is left. It returns the error of ctx if that is done before.
+// none is left. It returns the error of ctx if that is done before, and otherwise the
+// errors of closing the listener, which may have reset connections that waited.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.StartDraining()
-	if l := s.listener.Load(); l != nil {
+	l := s.listener.Load()
+	if l != nil {
 		l.stop()
 	}
 	ticker := time.NewTicker(checkInterval)
@@ -98,7 +100,11 @@
 		// In this order: a connection that is accepted in between is counted.
 		stopped := s.stoppedAccepting()
 		if open := s.closeUnused(now, now.Add(-newConnGrace)); stopped && open == 0 {
-			return s.http.Close()
+			err := s.http.Close()
+			if l != nil {
+				err = errors.Join(err, l.closeErr)
+			}
+			return err
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -218,3 +219,58 @@
 		t.Error(err)
 	}
 }
+
+// A listener that fails while the server stops does not end Serve with an error, which
+// would cut the requests that still run. Shutdown returns it.
+func TestShutdownReturnsListenerError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	handling, finish := make(chan struct{}), make(chan struct{})
+	server := drain.New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(handling)
+		<-finish
+		_, _ = io.WriteString(w, "/a")
+	})}, nil)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(&unreadableListener{listener}) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	answered := make(chan error, 1)
+	go func() {
+		_, err := exchange(conn, bufio.NewReader(conn), "/a")
+		answered <- err
+	}()
+	<-handling
+	shutdown := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		shutdown <- server.Shutdown(ctx)
+	}()
+	if err := <-ended; err != nil {
+		t.Errorf("Serve returned %v", err)
+	}
+	close(finish)
+	if err := <-answered; err != nil {
+		t.Errorf("the request was cut: %v", err)
+	}
+	if err := <-shutdown; !errors.Is(err, errUnreadable) {
+		t.Errorf("Shutdown returned %v", err)
+	}
+}
+
+var errUnreadable = errors.New("no access to the socket")
+
+// unreadableListener gives no access to its socket.
+type unreadableListener struct{ net.Listener }
+
+func (l *unreadableListener) SetDeadline(deadline time.Time) error {
+	return l.Listener.(*net.TCPListener).SetDeadline(deadline)
+}
+
+func (*unreadableListener) SyscallConn() (syscall.RawConn, error) { return nil, errUnreadable }
--- a/internal/drain/listener.go
+++ b/internal/drain/listener.go
@@ -28,9 +28,11 @@
 	wrap     func(*Conn) net.Conn
 	stopping atomic.Bool
 	// last holds the connections that were accepted when the listener was closed and that
-	// Accept has not returned yet. isClosed and last belong to the caller of Accept.
+	// Accept has not returned yet, and closeErr the errors of that. isClosed, last and
+	// closeErr belong to the caller of Accept.
 	isClosed bool
 	last     []net.Conn
+	closeErr error
 }
 
 // Accept implements net.Listener. It must not be called concurrently.
@@ -58,9 +60,7 @@
 		time.Sleep(acceptPause)
 		var err error
 		l.last, err = l.acceptWaiting()
-		if err := errors.Join(err, l.Close()); err != nil && len(l.last) == 0 {
-			return nil, err
-		}
+		l.closeErr = errors.Join(err, l.Close())
 	}
 	if len(l.last) == 0 {
 		return nil, net.ErrClosed
