Check the sizes of a scale run before the first one

Cause: sizes were parsed one by one between the runs, and a malformed one returned without the results of the runs before it.

Change: all sizes are parsed first.

--- a/internal/standin/commands/scale.go
+++ b/internal/standin/commands/scale.go
@@ -49,12 +49,12 @@
 const entryShare = 0.3
 
 func runSizes(ctx context.Context, binaries fleet.Binaries, plan scale.Plan, sizes string) ([]*scale.Result, error) {
+	parsed, err := parseSizes(sizes)
+	if err != nil {
+		return nil, err
+	}
 	var results []*scale.Result
-	for _, size := range strings.Split(sizes, ",") {
-		nodes, err := strconv.Atoi(size)
-		if err != nil || nodes < 1 {
-			return nil, &settings.Error{Setting: "sizes", Value: sizes, Allowed: "whole numbers above 0, separated by commas"}
-		}
+	for _, nodes := range parsed {
 		plan.Entries = int(float64(nodes) * entryShare)
 		plan.Companions = nodes - plan.Entries
 		result, err := scale.Run(ctx, binaries, plan)
@@ -66,6 +66,18 @@
 	return results, nil
 }
 
+func parseSizes(sizes string) ([]int, error) {
+	var parsed []int
+	for _, size := range strings.Split(sizes, ",") {
+		nodes, err := strconv.Atoi(size)
+		if err != nil || nodes < 1 {
+			return nil, &settings.Error{Setting: "sizes", Value: sizes, Allowed: "whole numbers above 0, separated by commas"}
+		}
+		parsed = append(parsed, nodes)
+	}
+	return parsed, nil
+}
+
 func writeResults(path string, results []*scale.Result) error {
 	if path == "" {
 		return nil
