--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -17,6 +17,7 @@
 
 	"filbertusher/internal/archive"
 	"filbertusher/internal/record"
+	"filbertusher/internal/standin/store"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -24,6 +25,7 @@
 // memoryStore is an in-memory object store without faults. It lists objects from a
 // sorted list of keys, like a store that has an index of them.
 type memoryStore struct {
+	store.SingleEra
 	mu      sync.Mutex
 	version usher.Version
 	keys    []string
--- a/internal/command/process.go
+++ b/internal/command/process.go
@@ -72,6 +72,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	p.group = group
 	group.Go(func() error { return p.admin.Serve(ctx) })
+	group.Go(func() error { logRestorations(ctx, p.store, p.log); return nil })
 	p.log.Info().Str("admin", listener.Addr().String()).Str("incarnation", string(p.incarnation)).Msg("started")
 	return ctx, nil
 }
@@ -123,3 +124,16 @@
 		log.Warn().Str("label", trait.Label).Bool("whole", trait.Whole).Int("crashes", crashes).Msg("crashCauseFound")
 	})
 }
+
+// logRestorations logs each time that the store went back to an earlier state, until
+// ctx ends.
+func logRestorations(ctx context.Context, store usher.EraSource, log zerolog.Logger) {
+	for {
+		select {
+		case <-store.Restored():
+			log.Warn().Uint16("era", uint16(store.Era())).Msg("storeWentBack")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -254,10 +254,13 @@
 		}
 		w.store.succeeded()
 		retry.reset()
+		update := w.options.Roster.Apply
 		if since == 0 {
-			w.options.Roster.Replace(changes, next)
-		} else {
-			w.options.Roster.Apply(changes, next)
+			update = w.options.Roster.Replace
+		}
+		if !update(changes, next) && len(changes) > 0 {
+			w.options.Log.Warn().Uint64("revision", uint64(next)).Uint64("current", uint64(w.options.Roster.Snapshot().Revision)).
+				Int("changes", len(changes)).Msg("endpointsIgnored")
 		}
 		w.options.OnEndpointsChanged()
 		w.rosterConfirmed.Store(int64(started))
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -11,11 +11,13 @@
 
 	"filbertusher/internal/roster"
 	"filbertusher/internal/routing"
+	"filbertusher/internal/standin/store"
 	"filbertusher/pkg/usher"
 )
 
 // directory is a fake usher.Directory that returns what a test sets.
 type directory struct {
+	store.SingleEra
 	mu               sync.Mutex
 	table            *usher.RouteTable
 	endpoints        []usher.EndpointChange
--- a/internal/journal/store_test.go
+++ b/internal/journal/store_test.go
@@ -26,6 +26,7 @@
 // interleave runs before and after a call takes effect, so that other companions
 // can act in between. delayed holds the writes that have yet to take effect.
 type faultyStore struct {
+	store.SingleEra
 	memory      *store.Memory
 	chooseFault func(write bool) fault
 	interleave  func()
--- a/internal/record/bench_test.go
+++ b/internal/record/bench_test.go
@@ -18,12 +18,14 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/standin/store"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
 
 // countingStore counts all writes without keeping them, or fails them while down.
 type countingStore struct {
+	store.SingleEra
 	down    bool
 	writes  atomic.Int64
 	bytes   atomic.Int64
--- a/internal/record/failure_test.go
+++ b/internal/record/failure_test.go
@@ -15,6 +15,7 @@
 
 	"filbertusher/internal/pause"
 	"filbertusher/internal/peerrpc"
+	"filbertusher/internal/standin/store"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -22,6 +23,7 @@
 // memoryStore is an in-memory store that can be unavailable, and can apply a write
 // and lose the reply. lostReplies is the number of replies that it has yet to lose.
 type memoryStore struct {
+	store.SingleEra
 	countingStore
 	mu          sync.Mutex
 	objects     map[usher.ObjectKey][]byte
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -66,28 +66,29 @@
 }
 
 // Apply applies changes up to a revision of the store. It ignores a revision older
-// than the current one.
-func (r *Roster) Apply(changes []usher.EndpointChange, revision usher.Version) {
+// than the current one, and reports whether it applied the changes.
+func (r *Roster) Apply(changes []usher.EndpointChange, revision usher.Version) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision < r.revision {
-		return
+		return false
 	}
 	r.revision = revision
 	for _, change := range changes {
 		r.apply(change)
 	}
 	r.publish()
+	return true
 }
 
 // Replace applies a complete list. Endpoints that are not on it are removed, or
 // treated as lapsed if the store recovered shortly before. It ignores a revision
-// older than the current one.
-func (r *Roster) Replace(list []usher.EndpointChange, revision usher.Version) {
+// older than the current one, and reports whether it applied the list.
+func (r *Roster) Replace(list []usher.EndpointChange, revision usher.Version) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if revision < r.revision {
-		return
+		return false
 	}
 	r.revision = revision
 	listed := make(map[usher.EndpointName]bool, len(list))
@@ -101,6 +102,7 @@
 		}
 	}
 	r.publish()
+	return true
 }
 
 func (r *Roster) apply(change usher.EndpointChange) {
@@ -188,3 +190,14 @@
 	}
 	return list, r.revision
 }
+
+// State returns the roster's section of the diagnostic dump.
+func (r *Roster) State() any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return struct {
+		Revision  usher.Version `json:"revision"`
+		Endpoints int           `json:"endpoints"`
+		Lapsed    int           `json:"lapsed"`
+	}{r.revision, len(r.endpoints), len(r.lapsedSince)}
+}
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -111,10 +111,18 @@
 	mux.HandleFunc("PUT /control/faults", s.setFaults)
 	mux.HandleFunc("PUT /control/instances", s.setInstances)
 	mux.HandleFunc("POST /control/forget", s.reset)
+	mux.HandleFunc("POST /control/backup", func(http.ResponseWriter, *http.Request) { s.memory.Backup() })
+	mux.HandleFunc("POST /control/restore", func(http.ResponseWriter, *http.Request) { s.memory.Restore() })
 	mux.HandleFunc("GET /control/counts", s.writeCounts)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerEra, strconv.Itoa(int(s.memory.Era())))
+		mux.ServeHTTP(w, r)
+	})
 }
 
+// headerEra is in every response.
+const headerEra = "Store-Era"
+
 // admit counts a call and applies Faults.Delay, Faults.Down and the rate limit. It
 // returns false if it rejected the call.
 func (s *Server) admit(w http.ResponseWriter, limiter *rate.Limiter, count *int64) bool {
@@ -211,6 +219,8 @@
 	s.mu.Lock()
 	s.counts.Waiting--
 	s.mu.Unlock()
+	// The store may have been restored while the watch waited.
+	w.Header().Set(headerEra, strconv.Itoa(int(s.memory.Era())))
 	if expired {
 		http.Error(w, "history lost", http.StatusGone)
 		return
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -5,6 +5,8 @@
 package store
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -28,11 +30,21 @@
 	// compacted is the newest revision whose change is no longer in the history.
 	compacted usher.Version
 	changed   chan struct{}
+	era       usher.StoreEra
+	backup    backup
+}
+
+// backup is a copy of the state that a restored store goes back to.
+type backup struct {
+	revision  usher.Version
+	objects   map[usher.ObjectKey]usher.Object
+	history   []usher.WatchEvent
+	compacted usher.Version
 }
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{objects: make(map[usher.ObjectKey]usher.Object), changed: make(chan struct{})}
+	return &Memory{objects: make(map[usher.ObjectKey]usher.Object), changed: make(chan struct{}), era: 1}
 }
 
 // Get returns an object and whether it exists.
@@ -134,3 +146,44 @@
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
+
+// Backup keeps a copy of the present state for Restore.
+func (m *Memory) Backup() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.backup = backup{revision: m.revision, objects: maps.Clone(m.objects), history: slices.Clone(m.history), compacted: m.compacted}
+}
+
+// Restore goes back to the state that Backup kept and begins a new era. Revisions
+// since then are given out again.
+func (m *Memory) Restore() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.revision, m.compacted = m.backup.revision, m.backup.compacted
+	m.objects, m.history = maps.Clone(m.backup.objects), slices.Clone(m.backup.history)
+	if m.objects == nil {
+		m.objects = make(map[usher.ObjectKey]usher.Object)
+	}
+	m.era++
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Era returns how often the store was restored, from 1.
+func (m *Memory) Era() usher.StoreEra {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
+// SingleEra implements usher.EraSource for stores that never go back to an earlier
+// state.
+type SingleEra struct{}
+
+var _ usher.EraSource = SingleEra{}
+
+// Era implements usher.EraSource.
+func (SingleEra) Era() usher.StoreEra { return 0 }
+
+// Restored implements usher.EraSource.
+func (SingleEra) Restored() <-chan struct{} { return nil }
--- a/pkg/usher/gateway.go
+++ b/pkg/usher/gateway.go
@@ -166,6 +166,7 @@
 // registered endpoints and the other gateway instances. Errors are those of
 // Store.
 type Directory interface {
+	EraSource
 	// Routes returns the current configuration and the revision to watch from.
 	Routes(ctx context.Context) (*RouteTable, Version, error)
 	// WatchRoutes waits for a newer configuration; the table is nil if there was
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -28,6 +28,7 @@
 // Errors are *NotFoundError, *ConflictError, *AmbiguousError,
 // *HistoryCompactedError and *UnavailableError.
 type Store interface {
+	EraSource
 	// Get returns one object.
 	Get(ctx context.Context, key ObjectKey) (Object, error)
 	// List returns the objects whose key begins with prefix, ordered by key,
