--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -87,6 +87,13 @@
 // operator does.
 func (c *cluster) configure() {
 	c.configVersion += 3
+	c.writeConfiguration()
+}
+
+// writeConfiguration writes the newest version of the configuration, as the platform's
+// operator does again after the store has lost it.
+func (c *cluster) writeConfiguration() {
+	c.t.Helper()
 	tenants := []map[string]any{{"name": "school", "api_keys": c.credentials, "unit": "tokens", "plain_tokens": 200, "rate_per_s": c.quota, "burst": c.quota}}
 	if c.busyQuota > 0 {
 		tenants = append(tenants, map[string]any{"name": "busy", "api_keys": []string{"busy"}, "unit": "tokens", "plain_tokens": 200, "rate_per_s": c.busyQuota, "burst": c.busyQuota})
--- a/test/gateway/outage_test.go
+++ b/test/gateway/outage_test.go
@@ -34,6 +34,9 @@
 
 // gatewayDump is the part of the diagnostic dump that the tests read.
 type gatewayDump struct {
+	Roster struct {
+		Revision uint64 `json:"revision"`
+	} `json:"roster"`
 	Peers []struct {
 		Name   string `json:"name"`
 		Silent bool   `json:"silent"`
