--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -259,8 +259,9 @@
 			update = w.options.Roster.Replace
 		}
 		if !update(changes, next) && len(changes) > 0 {
-			w.options.Log.Warn().Uint64("revision", uint64(next)).Uint64("current", uint64(w.options.Roster.Snapshot().Revision)).
-				Int("changes", len(changes)).Msg("endpointsIgnored")
+			current := w.options.Roster.Snapshot().Revision
+			w.options.Log.Warn().Uint16("era", uint16(next.Era())).Uint64("revision", next.Revision()).
+				Uint16("currentEra", uint16(current.Era())).Uint64("current", current.Revision()).Int("changes", len(changes)).Msg("endpointsIgnored")
 		}
 		w.options.OnEndpointsChanged()
 		w.rosterConfirmed.Store(int64(started))
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -60,8 +60,8 @@
 	// it was last known to be the newest one.
 	Version  usher.Version
 	ProofAge time.Duration
-	// RosterRevision is the store revision of the endpoints that it knows.
-	RosterRevision usher.Version
+	// RosterVersion is the store's version of the endpoints that it knows.
+	RosterVersion usher.Version
 	// Members is how many instances it knows, including itself.
 	Members  int
 	Dispatch dispatch.Report
@@ -213,8 +213,8 @@
 		Members: members,
 		Name:    p.self.Name, Incarnation: p.self.Incarnation, Address: p.self.Address,
 		Version: p.deps.Routes.Version(), ProofAge: p.deps.Routes.Age(),
-		RosterRevision: p.deps.Roster.Snapshot().Revision,
-		Dispatch:       p.deps.Scheduler.Report(), Quota: p.deps.Quota.Report(peerLearning), Blame: p.deps.Blame.Report(),
+		RosterVersion: p.deps.Roster.Snapshot().Revision,
+		Dispatch:      p.deps.Scheduler.Report(), Quota: p.deps.Quota.Report(peerLearning), Blame: p.deps.Blame.Report(),
 	}
 }
 
@@ -253,7 +253,7 @@
 // newer ones.
 func (p *Peering) fetchNewer(ctx context.Context, remote *peer, report *Report) {
 	newerRoutes := report.Version > p.deps.Routes.Version()
-	newerRoster := report.RosterRevision > p.deps.Roster.Snapshot().Revision && p.deps.RosterAge() > minRosterAge
+	newerRoster := report.RosterVersion > p.deps.Roster.Snapshot().Revision && p.deps.RosterAge() > minRosterAge
 	if !newerRoutes && !newerRoster || !p.fetching.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,7 +14,7 @@
 
 // Snapshot is the state of all endpoints at one time. It is immutable.
 type Snapshot struct {
-	// Revision is the store's revision that the snapshot reflects.
+	// Revision is the store's version that the snapshot reflects.
 	Revision usher.Version
 	// ByService holds the endpoints that may get new requests.
 	ByService map[usher.ServiceName][]usher.Registration
@@ -196,8 +196,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return struct {
-		Revision  usher.Version `json:"revision"`
-		Endpoints int           `json:"endpoints"`
-		Lapsed    int           `json:"lapsed"`
-	}{r.revision, len(r.endpoints), len(r.lapsedSince)}
+		Era       usher.StoreEra `json:"era"`
+		Revision  uint64         `json:"revision"`
+		Endpoints int            `json:"endpoints"`
+		Lapsed    int            `json:"lapsed"`
+	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), len(r.lapsedSince)}
 }
--- a/pkg/usher/era.go
+++ b/pkg/usher/era.go
@@ -6,6 +6,23 @@
 // states no era.
 type StoreEra uint16
 
+// revisionBits is the number of low bits of a Version that hold the revision. The era
+// is in the bits above.
+const revisionBits = 48
+
+// NewVersion returns the version that stands for a revision in an era of the store.
+// Versions of a later era are greater than all of an earlier one, so that what the
+// store says after it went back counts as newer, and no two states share a version.
+func NewVersion(era StoreEra, revision uint64) Version {
+	return Version(era)<<revisionBits | Version(revision&(1<<revisionBits-1))
+}
+
+// Era returns the era in which the store gave out the version.
+func (v Version) Era() StoreEra { return StoreEra(v >> revisionBits) }
+
+// Revision returns the number that the store gave the version.
+func (v Version) Revision() uint64 { return uint64(v & (1<<revisionBits - 1)) }
+
 // EraSource tells when the store went back to an earlier state. Implementations
 // learn it from the store's responses, so a process that makes no calls learns
 // nothing.
--- a/pkg/usher/ids.go
+++ b/pkg/usher/ids.go
@@ -56,7 +56,7 @@
 	// most urgent and is shed last.
 	Rank int
 	// Version is a version of the configuration, or a revision of the store or of
-	// an object in it. It only grows.
+	// an object in it together with the store's era (NewVersion). It only grows.
 	Version uint64
 	// FencingToken orders successive owners, such as the incarnations of an
 	// endpoint's companion. An endpoint that checks it rejects a request whose token
