--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -1,10 +1,13 @@
 // Package roster keeps, for a gateway instance, the list of the endpoints of each
 // service, as registered in the store. It excludes endpoints that are leaving from
 // new requests. Endpoints whose registrations may only have lapsed while the store
-// was unavailable stay in the list for a grace period.
+// was unavailable stay in the list for a grace period. After the store went back to
+// an earlier state, what an endpoint said of itself before still holds: one that was
+// leaving or gone does not return because an old copy of its registration does.
 package roster
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,10 +39,33 @@
 	// lapsedSince holds, for each endpoint that is retained although its
 	// registration is gone, when the registration vanished.
 	lapsedSince map[usher.EndpointName]time.Time
-	// recoveredAt is when the store last answered again after an outage.
+	// recoveredAt is when the store last answered again after an outage, and
+	// restoredAt when it was first seen in its present era.
 	recoveredAt time.Time
+	restoredAt  time.Time
+	// departed holds the endpoints that were removed lately, and withheld the
+	// registrations of departed ones that a restored store lists.
+	departed map[usher.EndpointName]departure
+	withheld map[usher.EndpointName]usher.EndpointChange
 }
 
+// departure is the last registration of an endpoint and when it was removed.
+type departure struct {
+	registration usher.Registration
+	at           time.Time
+}
+
+const (
+	// withholdPeriod is how long after the store went back an endpoint that had been
+	// removed before is withheld although the store lists it. An endpoint that is gone
+	// has lost its registration again by then.
+	withholdPeriod = 6 * time.Second
+	// departureRetention is how long removed endpoints are remembered, and
+	// maxDepartures how many. A store goes back by seconds.
+	departureRetention = time.Minute
+	maxDepartures      = 4096
+)
+
 // New returns an empty roster. Endpoints whose registrations vanish within
 // gracePeriod after the store recovered are retained until the period ends.
 // onChange is called with the reason when an endpoint is new, lapses or is removed,
@@ -49,6 +75,8 @@
 		now: now, gracePeriod: gracePeriod, onChange: onChange,
 		endpoints:   make(map[usher.EndpointName]usher.Registration),
 		lapsedSince: make(map[usher.EndpointName]time.Time),
+		departed:    make(map[usher.EndpointName]departure),
+		withheld:    make(map[usher.EndpointName]usher.EndpointChange),
 	}
 	r.current.Store(&Snapshot{ByService: map[usher.ServiceName][]usher.Registration{}, ByName: map[usher.EndpointName]usher.Registration{}})
 	return r
@@ -75,6 +103,7 @@
 	}
 	r.revision = revision
 	for _, change := range changes {
+		delete(r.withheld, change.Name)
 		r.apply(change)
 	}
 	r.publish()
@@ -90,10 +119,20 @@
 	if revision < r.revision {
 		return false
 	}
+	if r.revision != 0 && revision.Era() > r.revision.Era() {
+		// What was registered since the state that the store went back to is missing
+		// until its endpoint registers again.
+		r.recoveredAt, r.restoredAt = r.now(), r.now()
+	}
 	r.revision = revision
 	listed := make(map[usher.EndpointName]bool, len(list))
+	clear(r.withheld)
 	for _, change := range list {
 		listed[change.Name] = true
+		if r.mustWithhold(&change) {
+			r.withheld[change.Name] = change
+			continue
+		}
 		r.apply(change)
 	}
 	for name := range r.endpoints {
@@ -105,11 +144,31 @@
 	return true
 }
 
+// mustWithhold reports whether a listed registration may be the copy of one that was
+// removed before the store went back.
+func (r *Roster) mustWithhold(change *usher.EndpointChange) bool {
+	departure, found := r.departed[change.Name]
+	return found && change.Usable && departure.registration.Born == change.Born &&
+		departure.at.Before(r.restoredAt) && r.now().Sub(r.restoredAt) < withholdPeriod
+}
+
+// wasLeaving reports whether this incarnation of the endpoint has said before that it
+// leaves. An incarnation that leaves does not return.
+func (r *Roster) wasLeaving(change *usher.EndpointChange) bool {
+	last, known := r.endpoints[change.Name]
+	if !known {
+		last = r.departed[change.Name].registration
+	}
+	return last.Leaving && last.Born == change.Born && last.Address == change.Address
+}
+
 func (r *Roster) apply(change usher.EndpointChange) {
 	previous, known := r.endpoints[change.Name]
 	switch {
 	case change.Usable:
+		change.Leaving = change.Leaving || r.wasLeaving(&change)
 		delete(r.lapsedSince, change.Name)
+		delete(r.departed, change.Name)
 		r.endpoints[change.Name] = change.Registration
 		if !known || previous.Born != change.Born || previous.Address != change.Address || previous.Leaving != change.Leaving {
 			r.notify(change, "registered")
@@ -132,27 +191,47 @@
 }
 
 // Expire removes the lapsed endpoints that were not registered again within the
-// grace period, and reports whether there were any. It has to be called regularly
-// while the store answers.
+// grace period, and adds the withheld ones that are still registered. It reports
+// whether there were any, and has to be called regularly while the store answers.
 func (r *Roster) Expire() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.inGracePeriod() || len(r.lapsedSince) == 0 {
-		return false
+	changed := false
+	if !r.inGracePeriod() {
+		for name := range r.lapsedSince {
+			r.remove(r.endpoints[name], "not registered again in time")
+			changed = true
+		}
 	}
-	for name := range r.lapsedSince {
-		r.remove(r.endpoints[name], "not registered again in time")
+	if r.now().Sub(r.restoredAt) >= withholdPeriod {
+		for name, change := range r.withheld {
+			delete(r.withheld, name)
+			r.apply(change)
+			changed = true
+		}
 	}
-	r.publish()
-	return true
+	if changed {
+		r.publish()
+	}
+	return changed
 }
 
 func (r *Roster) remove(endpoint usher.Registration, reason string) {
 	delete(r.endpoints, endpoint.Name)
 	delete(r.lapsedSince, endpoint.Name)
+	r.rememberDeparture(endpoint)
 	r.notify(usher.EndpointChange{Registration: endpoint}, reason)
 }
 
+func (r *Roster) rememberDeparture(endpoint usher.Registration) {
+	maps.DeleteFunc(r.departed, func(_ usher.EndpointName, d departure) bool {
+		return r.now().Sub(d.at) > departureRetention
+	})
+	if len(r.departed) < maxDepartures {
+		r.departed[endpoint.Name] = departure{registration: endpoint, at: r.now()}
+	}
+}
+
 func (r *Roster) notify(change usher.EndpointChange, reason string) {
 	if r.onChange != nil {
 		r.onChange(change, reason)
@@ -200,5 +279,6 @@
 		Revision  uint64         `json:"revision"`
 		Endpoints int            `json:"endpoints"`
 		Lapsed    int            `json:"lapsed"`
-	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), len(r.lapsedSince)}
+		Withheld  int            `json:"withheld"`
+	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), len(r.lapsedSince), len(r.withheld)}
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,10 +1,12 @@
 package roster
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"filbertusher/pkg/usher"
 )
@@ -118,3 +120,80 @@
 		t.Errorf("incarnation %d is known after %d calls of onChange, want 2 after 2", got, changes)
 	}
 }
+
+// The versions before and after the store went back to an earlier state.
+var (
+	beforeRestoration = usher.NewVersion(1, 70)
+	afterRestoration  = usher.NewVersion(2, 51)
+)
+
+func born(change usher.EndpointChange, at int64) usher.EndpointChange {
+	change.Born = at
+	return change
+}
+
+func TestLeavingEndpointStaysLeavingAfterStoreRestored(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	r := New(2*time.Second, c.now, nil)
+	r.Replace([]usher.EndpointChange{born(registered("a", true), 1), born(registered("b", true), 1)}, beforeRestoration)
+	r.Replace([]usher.EndpointChange{born(registered("a", false), 1), born(registered("b", false), 2)}, afterRestoration)
+	if diff := cmp.Diff([]usher.EndpointName{"b"}, available(r)); diff != "" {
+		t.Errorf("only the endpoint that was started again is available: %s", diff)
+	}
+}
+
+func TestRemovedEndpointIsNotRevivedByRestoredStore(t *testing.T) {
+	list := []usher.EndpointChange{born(registered("a", false), 1), born(registered("b", false), 1), born(registered("c", false), 1)}
+	for name, step := range map[string]struct {
+		change func(r *Roster, c *clock)
+		want   []usher.EndpointName
+	}{
+		"listed": {func(*Roster, *clock) {}, nil},
+		"listed again": {func(r *Roster, _ *clock) {
+			r.Replace(list, afterRestoration+1)
+		}, nil},
+		"registered again": {func(r *Roster, _ *clock) {
+			r.Apply(list[:1], afterRestoration+1)
+		}, []usher.EndpointName{"a"}},
+		"started again": {func(r *Roster, _ *clock) {
+			r.Replace([]usher.EndpointChange{born(registered("a", false), 2)}, afterRestoration+1)
+		}, []usher.EndpointName{"a"}},
+		"lost its registration": {func(r *Roster, c *clock) {
+			r.Apply([]usher.EndpointChange{deleted("a"), deleted("b")}, afterRestoration+1)
+			c.advance(withholdPeriod)
+			r.Expire()
+		}, nil},
+		"still registered after the period": {func(r *Roster, c *clock) {
+			c.advance(withholdPeriod)
+			r.Expire()
+		}, []usher.EndpointName{"a"}},
+	} {
+		c := &clock{time.Unix(1000, 0)}
+		r := New(2*time.Second, c.now, nil)
+		r.Replace([]usher.EndpointChange{born(registered("a", false), 1), born(registered("b", true), 1), born(registered("c", false), 1)}, beforeRestoration-2)
+		r.Apply([]usher.EndpointChange{deleted("a"), deleted("b")}, beforeRestoration)
+		c.advance(time.Second)
+		r.Replace(list, afterRestoration)
+		step.change(r, c)
+		got := slices.DeleteFunc(available(r), func(name usher.EndpointName) bool { return name == "c" })
+		slices.Sort(got)
+		if diff := cmp.Diff(step.want, got, cmpopts.EquateEmpty()); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+func TestEndpointMissingFromRestoredStoreIsRetained(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	r := New(2*time.Second, c.now, nil)
+	r.Replace([]usher.EndpointChange{registered("a", false), registered("b", false)}, beforeRestoration)
+	r.Replace([]usher.EndpointChange{registered("a", false)}, afterRestoration)
+	if len(available(r)) != 2 {
+		t.Error("an endpoint that registered after the copy was made was removed at once")
+	}
+	c.advance(2 * time.Second)
+	r.Expire()
+	if diff := cmp.Diff([]usher.EndpointName{"a"}, available(r)); diff != "" {
+		t.Errorf("the grace period has passed: %s", diff)
+	}
+}
