--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -179,7 +179,7 @@
 	p.store = client
 	p.watcher = discovery.New(discovery.Options{
 		Directory: platform.NewDirectory(client), Routes: p.routes, Roster: p.roster, Self: self, Log: p.log,
-		OnInstances: p.setInstances, OnEndpointsChanged: p.updateScheduler,
+		RewriteGrace: s.Bounds.RegistrationGrace, OnInstances: p.setInstances, OnEndpointsChanged: p.updateScheduler,
 	})
 	p.peering = peering.New(self, s.SeedAddresses, peering.Dependencies{
 		Routes: p.routes, Roster: p.roster, Scheduler: p.scheduler, Quota: p.quota, Blame: p.blame,
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -81,6 +81,9 @@
 	Roster    *roster.Roster
 	Self      usher.GatewayInstance
 	Log       zerolog.Logger
+	// RewriteGrace is how long after the store went back to an earlier state what it
+	// lost may not have been written again.
+	RewriteGrace time.Duration
 	// OnInstances is called with the live instances, including this one, each time
 	// they were listed.
 	OnInstances func(ctx context.Context, instances []usher.GatewayInstance)
@@ -92,6 +95,7 @@
 type Watcher struct {
 	options Options
 	store   dependency
+	proofs  proofGuard
 
 	// rosterConfirmed is the boottime.Time at which the store last confirmed the
 	// roster, or 0.
@@ -121,7 +125,10 @@
 
 // New returns a watcher. It does nothing until Run is called.
 func New(options Options) *Watcher {
-	w := &Watcher{options: options, store: dependency{name: "store", log: options.Log}, heartbeats: make(map[string]heartbeat)}
+	w := &Watcher{
+		options: options, store: dependency{name: "store", log: options.Log}, heartbeats: make(map[string]heartbeat),
+		proofs: proofGuard{rewriteGrace: options.RewriteGrace},
+	}
 	w.store.onRecovery = func(outage time.Duration) {
 		if outage > minLapseOutage {
 			options.Roster.StoreRecovered()
@@ -172,16 +179,31 @@
 		w.store.succeeded()
 		retry.reset()
 		since = next
-		if table != nil {
+		switch {
+		case table == nil:
+		case listed:
+			w.adoptListed(table, next.Era(), started)
+		default:
+			// A watch may report a change late, so it is no proof.
 			w.options.Routes.Adopt(table, "store")
-			// A watch may report a change late, so only a list is a proof.
-			if listed {
-				w.options.Routes.ConfirmNewest(table.Version, started)
-			}
 		}
 	}
 }
 
+// adoptListed brings a configuration into force that was listed, and records whether
+// the list proves that it is the newest.
+func (w *Watcher) adoptListed(table *usher.RouteTable, era usher.StoreEra, started boottime.Time) {
+	var inForce *usher.RouteTable
+	if index := w.options.Routes.Index(); index != nil {
+		inForce = index.Table
+	}
+	proof := w.proofs.isProof(table, inForce, era, started)
+	w.options.Routes.Adopt(table, "store")
+	if proof {
+		w.options.Routes.ConfirmNewest(table.Version, started)
+	}
+}
+
 // handleFailure waits before the next attempt and returns the revision to watch
 // from, or 0 to list again. It returns 0 if the store's history no longer reaches
 // back to since, and after several other failures in a row, because the history
@@ -228,7 +250,7 @@
 		maxAge = maxProofAge/2 + time.Duration(rand.Int64N(int64(maxProofAge/2)))
 		started := boottime.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		table, _, err := w.options.Directory.Routes(callCtx)
+		table, version, err := w.options.Directory.Routes(callCtx)
 		cancel()
 		if err != nil {
 			w.store.failed(ctx, "proof", err)
@@ -237,8 +259,8 @@
 		}
 		w.store.succeeded()
 		retry.reset()
-		w.options.Routes.Adopt(table, "store")
-		w.options.Routes.ConfirmNewest(table.Version, started)
+		w.adoptListed(table, version.Era(), started)
+		pause.For(ctx, w.proofs.untilSettled(boottime.Now()))
 	}
 }
 
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -58,11 +58,12 @@
 
 // ConfirmNewest records that the version was the newest one at the given time or
 // later, so that no version above the one in force had been accepted by that time. It
-// has no effect if this process does not have that version yet.
+// has no effect if another version is in force: a newer one shows that this process is
+// behind, and an older one that the store or a peer is.
 func (h *Holder) ConfirmNewest(version usher.Version, at boottime.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.index.Load() == nil || version > h.Version() || int64(at) <= h.newestAt.Load() {
+	if h.index.Load() == nil || version != h.Version() || int64(at) <= h.newestAt.Load() {
 		return
 	}
 	h.newestAt.Store(int64(at))
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -88,8 +88,9 @@
 			} else {
 				at := boottime.Now().Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond)
 				holder.ConfirmNewest(version, at)
-				// A confirmation of a newer version only shows that this process is behind.
-				if highest > 0 && version <= highest {
+				// A confirmation of a newer version only shows that this process is behind,
+				// and one of an older version comes from a peer or a store that is behind.
+				if highest > 0 && version == highest {
 					newestAt = max(newestAt, at)
 				}
 			}
--- a/pkg/usher/gateway.go
+++ b/pkg/usher/gateway.go
@@ -115,7 +115,9 @@
 
 // RouteTable is one immutable version of the gateway's configuration.
 type RouteTable struct {
-	Version    Version
+	Version Version
+	// Written is the store's version of the object that the table was decoded from.
+	Written    Version
 	Routes     []Route
 	Services   []ServiceSpec
 	Workspaces []WorkspaceSpec
