--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -103,6 +103,11 @@
 
 	mu         sync.Mutex
 	heartbeats map[string]heartbeat
+	// lastLive are the instances that were live in the last list, and instancesEra is
+	// the list's era. restoredAt is when a list of a new era came.
+	lastLive     []usher.GatewayInstance
+	instancesEra usher.StoreEra
+	restoredAt   time.Time
 	// instanceCount is the number of live instances, or 0 while it is unknown.
 	instanceCount atomic.Int64
 }
@@ -116,13 +121,6 @@
 	return min(maximum, interval*time.Duration(count)/unscaledInstances)
 }
 
-// heartbeat is the heartbeat counter of an instance as last listed, and when this
-// process first saw that value.
-type heartbeat struct {
-	counter   int64
-	changedAt time.Time
-}
-
 // New returns a watcher. It does nothing until Run is called.
 func New(options Options) *Watcher {
 	w := &Watcher{
@@ -225,15 +223,45 @@
 	return since
 }
 
-func (w *Watcher) fetchRoutes(ctx context.Context, since usher.Version) (*usher.RouteTable, usher.Version, error) {
+func (w *Watcher) fetchRoutes(ctx context.Context, since usher.Version) (table *usher.RouteTable, next usher.Version, err error) {
 	if since == 0 {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		return w.options.Directory.Routes(callCtx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, routesWatchWait+callTimeout)
+	err = w.watchInEra(ctx, since, routesWatchWait+callTimeout, func(callCtx context.Context) error {
+		table, next, err = w.options.Directory.WatchRoutes(callCtx, since, routesWatchWait)
+		return err
+	})
+	return table, next, err
+}
+
+// watchInEra calls watch, which waits for changes after since, and ends it when the
+// store goes back to an earlier state: a connection that has gone silent would keep it
+// waiting. The error is a *usher.HistoryCompactedError then.
+func (w *Watcher) watchInEra(ctx context.Context, since usher.Version, timeout time.Duration, watch func(context.Context) error) error {
+	restored := w.options.Directory.Restored()
+	if w.options.Directory.Era() != since.Era() {
+		return &usher.HistoryCompactedError{}
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return w.options.Directory.WatchRoutes(callCtx, since, routesWatchWait)
+	ended := make(chan struct{})
+	go func() {
+		select {
+		case <-restored:
+			cancel()
+		case <-callCtx.Done():
+		}
+		close(ended)
+	}()
+	err := watch(callCtx)
+	cancel()
+	<-ended
+	if err != nil && w.options.Directory.Era() != since.Era() {
+		return &usher.HistoryCompactedError{}
+	}
+	return err
 }
 
 // renewProofs reads the configuration when neither this process nor a peer has
@@ -304,127 +332,15 @@
 	}
 }
 
-func (w *Watcher) fetchEndpoints(ctx context.Context, since usher.Version) ([]usher.EndpointChange, usher.Version, error) {
+func (w *Watcher) fetchEndpoints(ctx context.Context, since usher.Version) (changes []usher.EndpointChange, next usher.Version, err error) {
 	if since == 0 {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		return w.options.Directory.Endpoints(callCtx)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, endpointsWatchWait+callTimeout)
-	defer cancel()
-	return w.options.Directory.WatchEndpoints(callCtx, since, endpointsWatchWait)
-}
-
-// announceAndList regularly announces this instance and lists all instances.
-func (w *Watcher) announceAndList(ctx context.Context) {
-	self := w.options.Self
-	retry := backoff{}
-	for ctx.Err() == nil {
-		self.Heartbeat++
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		err := w.options.Directory.Announce(callCtx, self)
-		var all []usher.GatewayInstance
-		if err == nil {
-			all, err = w.options.Directory.Instances(callCtx)
-		}
-		cancel()
-		if err != nil {
-			w.store.failed(ctx, "instances", err)
-			retry.wait(ctx)
-			continue
-		}
-		w.store.succeeded()
-		retry.reset()
-		live := w.liveInstances(all)
-		w.instanceCount.Store(int64(len(live)))
-		w.options.OnInstances(ctx, live)
-		interval := w.scaled(announceInterval, maxAnnounceInterval)
-		pause.For(ctx, interval+time.Duration(rand.Int64N(int64(interval/4))))
-	}
-}
-
-// liveInstances returns all without the instances whose heartbeat counter has not
-// changed for too long by this process's clock, and adds this instance if it is
-// missing. An instance counts as live when it is first seen.
-func (w *Watcher) liveInstances(all []usher.GatewayInstance) []usher.GatewayInstance {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	now := time.Now()
-	timeout := time.Duration(lostAfterIntervals * float64(w.scaled(announceInterval, maxAnnounceInterval)))
-	live := make([]usher.GatewayInstance, 0, len(all)+1)
-	selfListed := false
-	for _, instance := range all {
-		last, ok := w.heartbeats[instance.Name]
-		if !ok || last.counter != instance.Heartbeat {
-			last = heartbeat{counter: instance.Heartbeat, changedAt: now}
-			w.heartbeats[instance.Name] = last
-		}
-		if instance.Name == w.options.Self.Name {
-			selfListed = true
-		} else if now.Sub(last.changedAt) > timeout {
-			continue
-		}
-		live = append(live, instance)
-	}
-	if !selfListed {
-		live = append(live, w.options.Self)
-	}
-	return live
-}
-
-// dependency tracks whether an external system that this process needs, such as the
-// store, is available, and logs when that changes.
-type dependency struct {
-	name string
-	log  zerolog.Logger
-	// onRecovery is called at the first success after a failure, with the time
-	// since the last success before it.
-	onRecovery func(outage time.Duration)
-
-	mu          sync.Mutex
-	unavailable bool
-	lastSuccess time.Time
-}
-
-func (d *dependency) failed(ctx context.Context, call string, cause error) {
-	if ctx.Err() != nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.unavailable {
-		return
-	}
-	d.unavailable = true
-	d.log.Warn().Err(cause).Str("dependency", d.name).Str("call", call).Msg("dependencyLost")
-}
-
-func (d *dependency) succeeded() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	outage := now.Sub(d.lastSuccess)
-	if d.lastSuccess.IsZero() {
-		outage = 0
-	}
-	d.lastSuccess = now
-	if !d.unavailable {
-		return
-	}
-	d.unavailable = false
-	d.log.Info().Str("dependency", d.name).Dur("after", outage).Msg("dependencyRegained")
-	if d.onRecovery != nil {
-		d.onRecovery(outage)
-	}
-}
-
-// backoff is the exponential backoff between failed calls.
-type backoff struct{ failures int }
-
-func (b *backoff) reset() { b.failures = 0 }
-
-func (b *backoff) wait(ctx context.Context) {
-	delay := min(maxRetryDelay, minRetryDelay<<min(b.failures, 6))
-	b.failures++
-	pause.For(ctx, delay/2+time.Duration(rand.Int64N(int64(delay))))
+	err = w.watchInEra(ctx, since, endpointsWatchWait+callTimeout, func(callCtx context.Context) error {
+		changes, next, err = w.options.Directory.WatchEndpoints(callCtx, since, endpointsWatchWait)
+		return err
+	})
+	return changes, next, err
 }
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -207,12 +207,12 @@
 		return names
 	}
 	all := []usher.GatewayInstance{{Name: "lost", Heartbeat: 1}, {Name: "live", Heartbeat: 1}}
-	if diff := cmp.Diff([]string{"lost", "live", "self"}, names(w.liveInstances(all))); diff != "" {
+	if diff := cmp.Diff([]string{"lost", "live", "self"}, names(w.liveInstances(all, 1))); diff != "" {
 		t.Error(diff)
 	}
 	w.heartbeats["lost"] = heartbeat{counter: 1, changedAt: time.Now().Add(-time.Minute)}
 	w.heartbeats["live"] = heartbeat{counter: 0, changedAt: time.Now().Add(-time.Minute)}
-	if diff := cmp.Diff([]string{"live", "self"}, names(w.liveInstances(all))); diff != "" {
+	if diff := cmp.Diff([]string{"live", "self"}, names(w.liveInstances(all, 1))); diff != "" {
 		t.Error(diff)
 	}
 }
