--- a/internal/discovery/restored_test.go
+++ b/internal/discovery/restored_test.go
@@ -112,10 +112,12 @@
 		return names
 	}
 	old, young := usher.GatewayInstance{Name: "old", Heartbeat: 7}, usher.GatewayInstance{Name: "young", Heartbeat: 3}
-	w.liveInstances([]usher.GatewayInstance{old, young}, 1)
-	old.Heartbeat = 5
-	if diff := cmp.Diff([]string{"old", "young", "self"}, names(w.liveInstances([]usher.GatewayInstance{old}, 2))); diff != "" {
-		t.Errorf("an instance whose announcement was lost: %s", diff)
+	dead := usher.GatewayInstance{Name: "dead", Heartbeat: 9}
+	w.liveInstances([]usher.GatewayInstance{old, young, dead}, 1)
+	w.heartbeats["dead"] = heartbeat{counter: 9, changedAt: time.Now().Add(-time.Minute)}
+	old.Heartbeat, dead.Heartbeat = 5, 6
+	if diff := cmp.Diff([]string{"old", "young", "self"}, names(w.liveInstances([]usher.GatewayInstance{old, dead}, 2))); diff != "" {
+		t.Errorf("one has lost its announcement, and one had died before: %s", diff)
 	}
 	for name, last := range w.heartbeats {
 		last.changedAt = time.Now().Add(-time.Minute)
