--- a/internal/record/chain.go
+++ b/internal/record/chain.go
@@ -17,12 +17,13 @@
 // Batches are sealed during an outage of the store too, because sealed lines,
 // which are compressed, take a fifth of the memory of open ones.
 type chainWriter struct {
-	store  usher.Store
 	writer string
 	role   Role
 
 	// bytes is the memory of open lines, sealed batches and their line references.
 	bytes atomic.Int64
+	// rewritten is the number of objects that were stored again after the store lost them.
+	rewritten atomic.Int64
 
 	mu             sync.Mutex
 	open           *openBatch
@@ -33,6 +34,7 @@
 	refusalCounts  map[usher.RefusalKind]int64
 
 	// The fields below are used only by the goroutine that stores batches.
+	objects    objectWriter
 	announced  bool
 	started    time.Time
 	index      Index
@@ -74,7 +76,7 @@
 
 func newChainWriter(store usher.Store, writer string, role Role) *chainWriter {
 	return &chainWriter{
-		store: store, writer: writer, role: role, started: time.Now(),
+		objects: objectWriter{store: store}, writer: writer, role: role, started: time.Now(),
 		open: newOpenBatch(), previousDigest: GenesisDigest(writer), refusalCounts: make(map[usher.RefusalKind]int64),
 		index: Index{Writer: writer},
 	}
@@ -167,10 +169,16 @@
 }
 
 // Drain stores the sealed batches in order, calls onStored after each, and pauses
-// for gap between two writes. It returns at the first failure, and without an
+// for gap between two writes. If the store went back to an earlier state, it first
+// stores what was lost again. It returns at the first failure, and without an
 // error after timeout, because its caller has other work to do between batches.
 func (c *chainWriter) Drain(ctx context.Context, gap, timeout time.Duration, onStored func(*sealedBatch, error)) error {
 	started := time.Now()
+	rewritten, err := c.objects.rewriteLost(ctx, gap)
+	c.rewritten.Add(int64(rewritten))
+	if err != nil {
+		return err
+	}
 	for batch, wait := c.oldestUnstored(), time.Duration(0); batch != nil; batch, wait = c.oldestUnstored(), gap {
 		pause.For(ctx, wait)
 		if time.Since(started) >= timeout || ctx.Err() != nil {
@@ -179,7 +187,7 @@
 		if err := c.announce(ctx); err != nil {
 			return err
 		}
-		err := storeBatch(ctx, c.store, batch.Key, batch.Value)
+		err := c.objects.putBatch(ctx, batch.Key, batch.Value)
 		var displaced *DisplacedError
 		if err != nil && !errors.As(err, &displaced) {
 			return err
@@ -196,9 +204,7 @@
 		return nil
 	}
 	announcement := c.announcement()
-	err := putImmutable(ctx, c.store, announcement.Key, announcement.Value)
-	var displaced *DisplacedError
-	if err != nil && !errors.As(err, &displaced) {
+	if err := c.objects.put(ctx, announcement.Key, announcement.Value); err != nil {
 		return err
 	}
 	c.announced = true
@@ -238,9 +244,7 @@
 	if len(c.index.Batches) == 0 || (!full && !last) {
 		return nil
 	}
-	err := putImmutable(ctx, c.store, IndexKey(c.writer, c.index.Number), EncodeIndex(&c.index))
-	var displaced *DisplacedError
-	if err != nil && !errors.As(err, &displaced) {
+	if err := c.objects.put(ctx, IndexKey(c.writer, c.index.Number), EncodeIndex(&c.index)); err != nil {
 		return err
 	}
 	c.index = Index{Writer: c.writer, Number: c.index.Number + 1}
--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -241,6 +241,7 @@
 	Writers        int64          `json:"writers"`
 	IntervalMS     int64          `json:"intervalMs"`
 	LastStored     uint64         `json:"lastStored"`
+	Rewritten      int64          `json:"rewritten"`
 	LastDigest     usher.Digest   `json:"lastDigest,omitempty"`
 	CopiesByHolder map[string]int `json:"copiesAbout,omitempty"`
 }
@@ -258,6 +259,6 @@
 		Writer: r.chain.writer, Bytes: r.chain.bytes.Load(), Limit: r.options.MaxBacklogBytes,
 		Batches: len(r.chain.unstoredBatches()), StoreDown: r.storeDown, CopyHolders: len(r.copyHolders),
 		Writers: r.writerCount.Load(), IntervalMS: r.batchInterval().Milliseconds(),
-		LastStored: head.Sequence, LastDigest: head.Digest, CopiesByHolder: copies,
+		LastStored: head.Sequence, Rewritten: r.chain.rewritten.Load(), LastDigest: head.Digest, CopiesByHolder: copies,
 	}
 }
--- a/internal/record/replica.go
+++ b/internal/record/replica.go
@@ -259,14 +259,21 @@
 	}
 	return map[string]any{
 		"entries": len(r.entries), "copies": copies, "sealedBatches": sealed,
-		"bytes": r.used(), "limit": r.options.MaxCopyBytes, "unstoredBatches": len(r.chain.unstoredBatches()),
+		"bytes": r.used(), "limit": r.options.MaxCopyBytes, "unstoredBatches": len(r.chain.unstoredBatches()), "rewritten": r.chain.rewritten.Load(),
 	}
 }
 
 // Run stores the copies of silent entries until ctx is done.
 func (r *Replica) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause.For(ctx, jitter(r.options.SilenceTimeout/2))
+		timer := time.NewTimer(jitter(r.options.SilenceTimeout / 2))
+		select {
+		case <-timer.C:
+		case <-r.store.Restored():
+			pause.For(ctx, jitter(rewriteJitter))
+		case <-ctx.Done():
+		}
+		timer.Stop()
 		r.takeOver(ctx, false)
 	}
 	return nil
--- a/internal/record/run.go
+++ b/internal/record/run.go
@@ -20,6 +20,8 @@
 	// closeDrainTimeout bounds one attempt to store the remaining batches during a
 	// planned shutdown.
 	closeDrainTimeout = time.Minute
+	// rewriteJitter spreads the writes of processes that store again what the store lost.
+	rewriteJitter = time.Second
 	// maxPendingReleases bounds the decision releases queued for a companion that
 	// does not reply. Copies beyond it are stored by the companion too, once they
 	// are overdue; readers merge the duplicates.
@@ -65,6 +67,8 @@
 	select {
 	case <-timer.C:
 	case <-r.sealRequests:
+	case <-r.chain.objects.store.Restored():
+		pause.For(ctx, jitter(rewriteJitter))
 	case <-ctx.Done():
 	}
 }
--- a/internal/record/takeover.go
+++ b/internal/record/takeover.go
@@ -86,7 +86,7 @@
 }
 
 func (r *Replica) storeSealed(ctx context.Context, batch wire.SealedBatch) bool {
-	err := storeBatch(ctx, r.store, batch.Key, batch.Value)
+	err := r.chain.objects.putBatch(ctx, batch.Key, batch.Value)
 	var displaced *DisplacedError
 	if err != nil && !errors.As(err, &displaced) {
 		return false
