--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -132,13 +132,15 @@
 	crashBlame := newBlame(p.log)
 	p.group.Go(func() error { crashBlame.Sync(ctx, p.store, blame.ReadRegularly, p.log); return nil })
 	p.admin.AddSection("crashCauses", crashBlame.State)
+	slotTable := p.newSlotTable(name)
+	p.group.Go(func() error { return slotTable.KeepHeld(ctx) })
 	fence := companion.NewFence(p.store, name, p.incarnation, p.log)
 	comp := companion.New(companion.Options{
 		Endpoint: name, Incarnation: p.incarnation,
 		TicketLifetime: p.ticketLifetime, TicketRetention: p.requestRetention, MaxUsedTickets: p.maxKeys,
 		MaxCrashes: p.maxCrashes,
 	}, companion.Dependencies{
-		Suspects: suspects, Blame: crashBlame, Journal: p.newSlotTable(name), Fence: fence.Current,
+		Suspects: suspects, Blame: crashBlame, Journal: slotTable, Fence: fence.Current,
 		Config: p.config, Backend: p.backend(),
 		Admission: admissionController,
 		Ledger:    ledger.New(p.requestRetention), RecordReplica: replica, Log: p.log,
--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -113,6 +113,11 @@
 	if err := s.limiter.Wait(ctx); err != nil {
 		return &UnconfirmedError{Cause: err}
 	}
+	if s.headAge() > maxHeadAge {
+		if err := s.checkHeld(ctx, nil); err != nil {
+			return err
+		}
+	}
 	s.mu.Lock()
 	changes := s.pending
 	s.pending = nil
@@ -162,12 +167,18 @@
 		s.requeue(changes)
 		return err
 	}
-	if version != s.version {
-		s.requeue(changes)
-		s.markLost(&MovedError{Holder: current.Holder})
+	if version == s.version {
+		s.mu.Lock()
+		s.confirmedAt = time.Now()
+		s.mu.Unlock()
+		completeAll(changes, nil)
 		return nil
 	}
-	completeAll(changes, nil)
+	s.requeue(changes)
+	if s.canRewrite(&current) {
+		return s.rewrite(ctx, version, &current)
+	}
+	s.markLost(&MovedError{Holder: current.Holder})
 	return nil
 }
 
@@ -200,7 +211,7 @@
 		}
 	}
 	next.value.Records = compact(records)
-	next.value.WriteID = s.table.newWriteID()
+	next.value.WriteID, next.value.Era = s.table.newWriteID(), s.version.Era()
 	encoded, err := json.Marshal(next.value)
 	if err != nil {
 		return nil, &MalformedError{Key: headKey(s.id.service, s.id.number), Cause: err}
@@ -240,14 +251,19 @@
 // contains the fencing token, so no other holder writes to the same key. The segment
 // is not read until the head refers to it.
 func (s *Slot) moveToSegment(ctx context.Context) (segmentRef, error) {
+	return s.writeSegment(ctx, s.value.Records)
+}
+
+// writeSegment writes records to a new segment.
+func (s *Slot) writeSegment(ctx context.Context, records []Record) (segmentRef, error) {
 	ref := segmentRef{Name: strconv.FormatUint(uint64(s.value.Fence), 10) + "-" + strconv.FormatUint(s.table.writeNumber.Add(1), 10)}
-	for _, record := range s.value.Records {
+	for _, record := range records {
 		if record.Taken.After(ref.Newest) {
 			ref.Newest = record.Taken
 		}
 	}
 	key := segmentKey(s.id.service, s.id.number, ref.Name)
-	encoded, err := json.Marshal(s.value.Records)
+	encoded, err := json.Marshal(records)
 	if err != nil {
 		return ref, &MalformedError{Key: key, Cause: err}
 	}
@@ -303,6 +319,13 @@
 		if err != nil {
 			break
 		}
+		if s.canRewrite(&current) {
+			s.mu.Lock()
+			s.unconfirmed = nil
+			s.mu.Unlock()
+			s.requeue(unconfirmed.changes)
+			return s.rewrite(ctx, version, &current)
+		}
 		if current.WriteID == unconfirmed.value.WriteID {
 			s.markConfirmed(ctx, version)
 			return nil
@@ -323,6 +346,7 @@
 	s.mu.Lock()
 	written := s.unconfirmed
 	s.version, s.value, s.unconfirmed = version, written.value, nil
+	s.writtenAt, s.confirmedAt = time.Now(), time.Now()
 	s.mu.Unlock()
 	completeAll(written.changes, nil)
 	for _, ref := range written.expiredSegments {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -110,9 +110,12 @@
 	Fence  usher.FencingToken `json:"fence"`
 	// WriteID identifies the writer and the write. A writer that did not get the
 	// store's response uses it to tell whether its write took effect.
-	WriteID  string       `json:"stamp"`
-	Segments []segmentRef `json:"segments,omitempty"`
-	Records  []Record     `json:"records,omitempty"`
+	WriteID string `json:"stamp"`
+	// Era is the era of the store in which the head was written. In a later era the
+	// head is a copy, which may lack keys that were written after it.
+	Era      usher.StoreEra `json:"era,omitempty"`
+	Segments []segmentRef   `json:"segments,omitempty"`
+	Records  []Record       `json:"records,omitempty"`
 }
 
 // View is the state of a slot as known to the entry process that sends a request:
--- a/internal/journal/slot.go
+++ b/internal/journal/slot.go
@@ -26,6 +26,8 @@
 	slot *Slot
 	// maybeStored is set once the journal may contain the key.
 	maybeStored bool
+	// outcome is the record with the outcome, once the entry is finished.
+	outcome Record
 	// response is the complete response, as long as the holder keeps it.
 	response *usher.Response
 	refusal  *usher.Refusal
@@ -51,6 +53,10 @@
 	mu      sync.Mutex
 	version usher.Version
 	value   head
+	// writtenAt is when the store last confirmed a write, and confirmedAt when a write
+	// or a read last confirmed that the slot is held.
+	writtenAt   time.Time
+	confirmedAt time.Time
 	// unconfirmed is a write that the store has not confirmed. It has to be resolved
 	// before the next write.
 	unconfirmed *batch
@@ -73,7 +79,7 @@
 	return &Slot{
 		table: table, id: id, retention: retention,
 		limiter: rate.NewLimiter(rate.Limit(table.options.WritesPerSecond), writeBurst), writeLock: make(chan struct{}, 1),
-		version: version, value: value, entries: make(map[KeyHash]*KeyEntry),
+		version: version, value: value, confirmedAt: time.Now(), entries: make(map[KeyHash]*KeyEntry),
 		refusedEpochs: make(map[KeyHash]uint64), idle: make(chan struct{}),
 	}
 }
@@ -123,7 +129,7 @@
 			delete(s.entries, record.Key)
 			continue
 		}
-		entry := &KeyEntry{Record: record, slot: s, maybeStored: true, finished: true, done: make(chan struct{})}
+		entry := &KeyEntry{Record: record, outcome: record, slot: s, maybeStored: true, finished: true, done: make(chan struct{})}
 		close(entry.done)
 		switch {
 		case record.Outcome != usher.OutcomeRan:
@@ -264,6 +270,7 @@
 	default:
 		record.Outcome = refusal.Outcome
 	}
+	e.outcome = record
 	close(e.done)
 	if e.maybeStored && s.lost == nil && !s.local {
 		s.pending = append(s.pending, &change{record: &record})
--- a/internal/journal/slottable.go
+++ b/internal/journal/slottable.go
@@ -65,12 +65,18 @@
 	slots  map[slotID]*Slot
 	claims map[slotID]chan struct{}
 	closed bool
+	// era is the store's era, and eraSeen when this incarnation first saw it. restored
+	// is set if it has seen an earlier era.
+	era      usher.StoreEra
+	eraSeen  time.Time
+	restored bool
 }
 
 // counters are the numbers that State reports: store writes and reads, committed
-// keys, slots claimed and lost, and requests with a key that the slot had already.
+// keys, slots claimed and lost, requests with a key that the slot had already, slots
+// written again after the store lost them, and checks of held slots that failed.
 type counters struct {
-	writes, reads, keys, takeovers, lost, replays atomic.Int64
+	writes, reads, keys, takeovers, lost, replays, rewritten, unconfirmed atomic.Int64
 }
 
 // NewSlotTable returns an empty slot table.
@@ -143,6 +149,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if t.mayLackKeys(version, &current) {
+			return nil, &UnconfirmedError{Cause: &RestoredError{Key: key}}
+		}
 		if other := current.Holder; t.heldByOther(other) && other != probed {
 			if !t.prober.Gone(ctx, other) {
 				return nil, &MovedError{Holder: other}
@@ -152,7 +161,8 @@
 			continue
 		}
 		next := current
-		next.Holder, next.Fence, next.WriteID = t.options.Holder, current.Fence+1, t.newWriteID()
+		next.Holder, next.WriteID, next.Era = t.options.Holder, t.newWriteID(), t.store.Era()
+		next.Fence = current.Fence.Next(next.Era)
 		written, err := t.writeHead(ctx, key, version, next)
 		if err == nil {
 			t.counts.takeovers.Add(1)
@@ -280,5 +290,6 @@
 	return map[string]any{
 		"held": held, "writes": t.counts.writes.Load(), "reads": t.counts.reads.Load(), "keys": t.counts.keys.Load(),
 		"takeovers": t.counts.takeovers.Load(), "lost": t.counts.lost.Load(), "replays": t.counts.replays.Load(),
+		"rewritten": t.counts.rewritten.Load(), "unconfirmed": t.counts.unconfirmed.Load(),
 	}
 }
--- a/pkg/usher/era.go
+++ b/pkg/usher/era.go
@@ -23,6 +23,17 @@
 // Revision returns the number that the store gave the version.
 func (v Version) Revision() uint64 { return uint64(v & (1<<revisionBits - 1)) }
 
+// tokensPerEra is the number of fencing tokens of one era.
+const tokensPerEra = 1 << 32
+
+// Next returns the token that follows t, which was read from the store in an era. It is
+// greater than all tokens of earlier eras, also those that the store has lost.
+//
+// The first era is 1; a store that states none is treated as if it were in the first.
+func (t FencingToken) Next(era StoreEra) FencingToken {
+	return max(t, FencingToken(max(era, 1)-1)*tokensPerEra) + 1
+}
+
 // EraSource tells when the store went back to an earlier state. Implementations
 // learn it from the store's responses, so a process that makes no calls learns
 // nothing.
