--- a/internal/companion/fence.go
+++ b/internal/companion/fence.go
@@ -47,7 +47,9 @@
 // Current returns the token, or 0 if there is none yet.
 func (f *Fence) Current() usher.FencingToken { return usher.FencingToken(f.current.Load()) }
 
-// Run increments the endpoint's token until the store confirms it or ctx ends.
+// Run increments the endpoint's token until the store confirms it or ctx ends. The token
+// of an incarnation stays the same when the store goes back to an earlier state: those
+// that it gives out afterwards are higher.
 func (f *Fence) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		fence, err := f.increment(ctx)
@@ -79,7 +81,7 @@
 	if stored.Incarnation == f.incarnation {
 		return stored.Fence, nil
 	}
-	next := fenceObject{Fence: stored.Fence + 1, Incarnation: f.incarnation}
+	next := fenceObject{Fence: stored.Fence.Next(f.store.Era()), Incarnation: f.incarnation}
 	encoded, err := json.Marshal(next)
 	if err != nil {
 		return 0, err
