--- a/internal/blame/sync.go
+++ b/internal/blame/sync.go
@@ -124,11 +124,13 @@
 	ReadRegularly Reading = true
 )
 
-// Sync merges the stored records into the table at the start and regularly, and stores
-// the traits that this process blames, until ctx ends. A write whose response was lost is
+// Sync merges the stored records into the table at the start, regularly and when the
+// store went back to an earlier state, and stores the traits that this process blames,
+// until ctx ends. A write whose response was lost is
 // repeated without harm, because merging is idempotent.
 func (t *Table) Sync(ctx context.Context, store usher.Store, reading Reading, log zerolog.Logger) {
 	for ctx.Err() == nil {
+		restored := store.Restored()
 		err := t.syncOnce(ctx, store)
 		if err != nil && ctx.Err() == nil {
 			log.Warn().Err(err).Msg("crashCausesNotStored")
@@ -136,6 +138,8 @@
 		malformed := new(MalformedError)
 		select {
 		case <-t.nextSync(reading, err != nil && !errors.As(err, &malformed)):
+		case <-restored:
+			pause.For(ctx, rand.N(maxWriteDelay))
 		case <-t.changed:
 			pause.For(ctx, rand.N(maxWriteDelay))
 		case <-ctx.Done():
--- a/internal/blame/sync_test.go
+++ b/internal/blame/sync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -74,6 +75,35 @@
 	})
 }
 
+func TestCausesLostByRestoredStoreAreStoredAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := store.NewMemory()
+		direct := store.NewDirect(memory)
+		table := blame.New(time.Now, func(blame.Trait, int) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go table.Sync(ctx, direct, blame.ReadOnce, zerolog.Nop())
+		memory.Backup()
+		for _, endpoint := range []usher.EndpointName{"e1", "e2", "e3"} {
+			table.RecordCrash(traits("p#"+string(endpoint)), blame.CrashOf(endpoint, ""))
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if _, stored := memory.Get(blame.ObjectKey); !stored {
+			t.Fatal("the cause was not stored")
+		}
+		memory.Restore()
+		if records, _, err := blame.List(ctx, direct); err != nil || len(records) != 0 {
+			t.Fatalf("the store has lost nothing: %v, error %v", records, err)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if _, stored := memory.Get(blame.ObjectKey); !stored {
+			t.Error("the cause was not stored again within a second")
+		}
+	})
+}
+
 func list(t *testing.T, client *platform.Client) []blame.StoredRecord {
 	t.Helper()
 	records, _, err := blame.List(t.Context(), client)
--- a/internal/suspect/sync.go
+++ b/internal/suspect/sync.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sort"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
 
@@ -20,6 +22,9 @@
 	// syncInterval is the interval at which a process reads the object. It bounds
 	// the time until a clearance by an operator is known everywhere.
 	syncInterval = 20 * time.Second
+	// maxRewriteDelay spreads the writes of processes that learn at the same time that
+	// the store went back to an earlier state.
+	maxRewriteDelay = time.Second
 	// maxWriteAttempts is how often Clear reads and writes the object before it
 	// gives up. A write fails if another writer has changed the object meanwhile.
 	maxWriteAttempts = 5
@@ -110,12 +115,13 @@
 	return err
 }
 
-// Sync merges the stored records into t regularly and after each change, until
-// ctx ends. With writeBack, which is for processes that see crashes themselves, it
+// Sync merges the stored records into t regularly, after each change, and when the store
+// went back to an earlier state, until ctx ends. With writeBack, which is for processes that see crashes themselves, it
 // also writes the records that the store does not have. A write whose response was
 // lost is repeated without harm, because merging is idempotent.
 func (t *Table) Sync(ctx context.Context, store usher.Store, writeBack bool, log zerolog.Logger) error {
 	for ctx.Err() == nil {
+		restored := store.Restored()
 		if err := t.syncOnce(ctx, store, writeBack); err != nil {
 			log.Warn().Err(err).Msg("suspectsNotStored")
 		}
@@ -123,6 +129,8 @@
 		select {
 		case <-timer.C:
 		case <-t.changed:
+		case <-restored:
+			pause.For(ctx, rand.N(maxRewriteDelay))
 		case <-ctx.Done():
 		}
 		timer.Stop()
