--- a/internal/configsync/store.go
+++ b/internal/configsync/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"filbertusher/internal/config"
+	"filbertusher/internal/erawatch"
 	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
@@ -133,6 +134,7 @@
 		var compacted *usher.HistoryCompactedError
 		if errors.As(err, &compacted) {
 			revision = 0
+			pause.For(ctx, jittered(minStoreReadInterval))
 			continue
 		}
 		if ctx.Err() != nil {
@@ -151,7 +153,12 @@
 	next := revision
 	if revision > 0 {
 		s.metrics.storeWatches(1)
-		events, upTo, err := s.store.Watch(ctx, config.HeadKey, revision, watchTimeout)
+		var events []usher.WatchEvent
+		var upTo usher.Version
+		err := erawatch.Do(ctx, s.store, revision, func(watchCtx context.Context) (err error) {
+			events, upTo, err = s.store.Watch(watchCtx, config.HeadKey, revision, watchTimeout)
+			return err
+		})
 		if err != nil || len(events) == 0 {
 			return upTo, err
 		}
@@ -165,7 +172,8 @@
 	if err := s.reconcile(ctx, head, objectVersion); err != nil {
 		return revision, err
 	}
-	return max(next, objectVersion, 1), nil
+	// Without a head there is no version to watch from.
+	return max(next, objectVersion, usher.NewVersion(s.store.Era(), 1)), nil
 }
 
 // reconcile updates the process or repairs the store, depending on how their
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"filbertusher/internal/boottime"
+	"filbertusher/internal/erawatch"
 	"filbertusher/internal/pause"
 	"filbertusher/internal/roster"
 	"filbertusher/internal/routing"
@@ -229,41 +230,15 @@
 		defer cancel()
 		return w.options.Directory.Routes(callCtx)
 	}
-	err = w.watchInEra(ctx, since, routesWatchWait+callTimeout, func(callCtx context.Context) error {
-		table, next, err = w.options.Directory.WatchRoutes(callCtx, since, routesWatchWait)
+	callCtx, cancel := context.WithTimeout(ctx, routesWatchWait+callTimeout)
+	defer cancel()
+	err = erawatch.Do(callCtx, w.options.Directory, since, func(watchCtx context.Context) error {
+		table, next, err = w.options.Directory.WatchRoutes(watchCtx, since, routesWatchWait)
 		return err
 	})
 	return table, next, err
 }
 
-// watchInEra calls watch, which waits for changes after since, and ends it when the
-// store goes back to an earlier state: a connection that has gone silent would keep it
-// waiting. The error is a *usher.HistoryCompactedError then.
-func (w *Watcher) watchInEra(ctx context.Context, since usher.Version, timeout time.Duration, watch func(context.Context) error) error {
-	restored := w.options.Directory.Restored()
-	if w.options.Directory.Era() != since.Era() {
-		return &usher.HistoryCompactedError{}
-	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	ended := make(chan struct{})
-	go func() {
-		select {
-		case <-restored:
-			cancel()
-		case <-callCtx.Done():
-		}
-		close(ended)
-	}()
-	err := watch(callCtx)
-	cancel()
-	<-ended
-	if err != nil && w.options.Directory.Era() != since.Era() {
-		return &usher.HistoryCompactedError{}
-	}
-	return err
-}
-
 // renewProofs reads the configuration when neither this process nor a peer has
 // proven for a while that the one in force is the newest.
 func (w *Watcher) renewProofs(ctx context.Context) {
@@ -338,8 +313,10 @@
 		defer cancel()
 		return w.options.Directory.Endpoints(callCtx)
 	}
-	err = w.watchInEra(ctx, since, endpointsWatchWait+callTimeout, func(callCtx context.Context) error {
-		changes, next, err = w.options.Directory.WatchEndpoints(callCtx, since, endpointsWatchWait)
+	callCtx, cancel := context.WithTimeout(ctx, endpointsWatchWait+callTimeout)
+	defer cancel()
+	err = erawatch.Do(callCtx, w.options.Directory, since, func(watchCtx context.Context) error {
+		changes, next, err = w.options.Directory.WatchEndpoints(watchCtx, since, endpointsWatchWait)
 		return err
 	})
 	return changes, next, err
