--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -64,14 +64,21 @@
 	loopback string
 
 	mu     sync.Mutex
-	byLink map[string]*toxiproxy.Proxy
+	byLink map[string]*link
+}
+
+// link is a proxy and its address, which stays the same. The proxy writes its own
+// copy of the address each time that it starts.
+type link struct {
+	*toxiproxy.Proxy
+	address string
 }
 
 // New returns an empty set of proxies. Its method StartProxy can be used as
 // the Proxy function of a fleet.Plan.
 func New() *Proxies {
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	return &Proxies{server: server, loopback: newLoopback(), byLink: make(map[string]*toxiproxy.Proxy)}
+	return &Proxies{server: server, loopback: newLoopback(), byLink: make(map[string]*link)}
 }
 
 // StartProxy starts a proxy for the process at address and returns the address of the
@@ -83,8 +90,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.byLink[process] = proxy
-	return proxy.Listen, nil
+	p.byLink[process] = &link{Proxy: proxy, address: proxy.Listen}
+	return p.byLink[process].address, nil
 }
 
 // Address returns the address of a link's proxy.
@@ -93,15 +100,15 @@
 	if err != nil {
 		return "", err
 	}
-	return proxy.Listen, nil
+	return proxy.address, nil
 }
 
-func (p *Proxies) proxy(link string) (*toxiproxy.Proxy, error) {
+func (p *Proxies) proxy(name string) (*link, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	proxy, ok := p.byLink[link]
+	proxy, ok := p.byLink[name]
 	if !ok {
-		return nil, &UnknownLinkError{Link: link}
+		return nil, &UnknownLinkError{Link: name}
 	}
 	return proxy, nil
 }
@@ -135,7 +142,7 @@
 // restart starts a stopped proxy on its previous port. If another goroutine is
 // starting a process, the forked child has a copy of the closed listener until it
 // calls exec, which keeps the port in use for a moment.
-func restart(proxy *toxiproxy.Proxy) error {
+func restart(proxy *link) error {
 	var err error
 	for range bindAttempts {
 		if err = proxy.Start(); !errors.Is(err, syscall.EADDRINUSE) {
