--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -47,10 +47,10 @@
 	// maxRecords bounds the records of a process and maxReported those of a report.
 	maxRecords  = 1024
 	maxReported = 32
-	// maxCrashes bounds the crashes of a record and maxReportedCrashes those that a
-	// report lists of it.
+	// maxCrashes bounds the crashes of a record and maxReportedCrashes those of all
+	// records of a report.
 	maxCrashes         = 32
-	maxReportedCrashes = 8
+	maxReportedCrashes = 256
 	// maxTraits bounds the traits of one request for which a crash is recorded.
 	maxTraits = 32
 	// recordTTL is how long a record is kept after its last change.
@@ -291,13 +291,19 @@
 }
 
 // updateReport sets the records that Report returns. They are shared with its callers,
-// so they are copies.
+// so they are copies. A record is reported with all of its crashes or not at all: the
+// receiver compares the crashes of traits, and takes two for unlike if some are missing.
 func (t *Table) updateReport() {
 	byRelevance := t.byRelevance()
 	reported := make([]entry, 0, min(len(byRelevance), maxReported))
+	crashes := 0
 	for _, e := range byRelevance[:min(len(byRelevance), maxReported)] {
+		if crashes+len(e.Crashes) > maxReportedCrashes {
+			continue
+		}
+		crashes += len(e.Crashes)
 		copied := *e
-		copied.Crashes = slices.Clone(e.Crashes[max(0, len(e.Crashes)-maxReportedCrashes):])
+		copied.Crashes = slices.Clone(e.Crashes)
 		reported = append(reported, copied)
 	}
 	t.reported.Store(&reported)
