--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/archive/archive_test.go
+++ b/internal/archive/archive_test.go
@@ -17,6 +17,7 @@
 
 	"filbertusher/internal/archive"
 	"filbertusher/internal/record"
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/internal/standin/store"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
--- a/internal/companion/reserve_test.go
+++ b/internal/companion/reserve_test.go
@@ -6,6 +6,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/config/update_test.go
+++ b/internal/config/update_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"filbertusher/internal/config"
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/endpointset/subset_test.go
+++ b/internal/endpointset/subset_test.go
@@ -10,6 +10,7 @@
 
 	"filbertusher/internal/config"
 	"filbertusher/internal/endpointset"
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/datadriven"
 	"pgregory.net/rapid"
 
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -17,6 +17,7 @@
 
 	"filbertusher/internal/config"
 	"filbertusher/internal/endpointset"
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"filbertusher/internal/record"
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"filbertusher/internal/boottime"
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/pkg/usher"
 )
 
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/internal/suspect"
 	"filbertusher/pkg/usher"
 )
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	_ "filbertusher/internal/standin/property"
 	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
 )
