--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -57,6 +57,7 @@
 	attempts        int
 	attemptSent     time.Time
 	endpoint        usher.EndpointName
+	software        usher.SoftwareVersion
 	waited          time.Duration
 	expectedLatency time.Duration
 	endpointRunning int
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -39,7 +39,7 @@
 	}
 	event.Uint64("version", uint64(h.version)).Int64("proofAgeMs", g.Routes.Age().Milliseconds()).
 		Int("prompt", int(h.headers.Cost.PromptTokens)).Int("answer", int(h.headers.Cost.AnswerTokens)).Int("hint", int(h.headers.ExpectedAnswerTokens)).Int("events", h.eventCount).
-		Str("endpoint", string(h.endpoint)).Int("attempts", h.attempts).Int("inside", h.endpointRunning).
+		Str("endpoint", string(h.endpoint)).Str("software", string(h.software)).Str("resumes", string(h.headers.Resumes)).Int("attempts", h.attempts).Int("inside", h.endpointRunning).
 		Int64("waitedMs", h.waited.Milliseconds()).Int64("expectedMs", h.expectedLatency.Milliseconds()).
 		Int64("firstMs", h.firstLatency.Milliseconds()).Int64("totalMs", total.Milliseconds()).
 		Str("detail", h.detail).Msg("request")
@@ -70,12 +70,13 @@
 // moved the moves away from an endpoint that sent nothing. rateLimited counts the
 // responses in which an endpoint names a rate limit. lost counts the attempts whose
 // connection broke and crashed those after which the endpoint accepted no connection,
-// both by responseProgress.
+// both by responseProgress. resumed counts the streams that went on at another endpoint.
 type metrics struct {
 	started, suspected, overQuota, overBudget, repeated, moved, rateLimited *expvar.Int
 
 	lost       *telemetry.Metrics
 	crashed    *telemetry.Metrics
+	resumed    *telemetry.Metrics
 	refused    *telemetry.Metrics
 	statuses   *telemetry.Metrics
 	firstEvent *histogram
@@ -90,6 +91,7 @@
 		overBudget: group.Counter("overBudget"), repeated: group.Counter("repeated"), moved: group.Counter("moved"),
 		rateLimited: group.Counter("rateLimited"),
 		lost:        telemetry.NewMetrics("gatewayLost"), crashed: telemetry.NewMetrics("gatewayCrashed"),
+		resumed: telemetry.NewMetrics("gatewayResumed"),
 		refused: telemetry.NewMetrics("gatewayRefused"), statuses: telemetry.NewMetrics("gatewayStatus"),
 		firstEvent: newHistogram(), total: newHistogram(), waited: newHistogram(),
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -166,7 +166,7 @@
 // of another endpoint, it also returns the grant for that endpoint.
 func (h *requestHandler) attempt(ctx context.Context, grant *dispatch.Grant, tried []usher.EndpointName, relay *streamRelay) (attemptResult, *dispatch.Grant) {
 	h.attempts++
-	h.endpoint = grant.Endpoint.Name
+	h.endpoint, h.software = grant.Endpoint.Name, grant.Endpoint.Software
 	if !h.retryCredited {
 		h.retryCredited = true
 		h.gateway.Budget.CountRequest(h.service)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,9 +24,13 @@
 // streamRelay passes the events of one stream to the caller. The stream may be
 // resumed at other endpoints; the caller gets the response header of the first.
 type streamRelay struct {
-	handler    *requestHandler
-	started    bool
-	lastID     string
+	handler *requestHandler
+	started bool
+	lastID  string
+	// software is the version of the endpoint that sent the last event.
+	software usher.SoftwareVersion
+	// noted is the attempt whose software was noted last.
+	noted      int
 	controller *http.ResponseController
 	// writeFailed is set when a write to the caller failed.
 	writeFailed bool
@@ -112,6 +116,7 @@
 	if _, err := h.writer.Write(event.Raw); err != nil {
 		return err
 	}
+	s.noteSoftware()
 	s.lastID = event.ID
 	if more {
 		return nil
@@ -119,6 +124,36 @@
 	return s.controller.Flush()
 }
 
+// noteSoftware counts and logs a stream that goes on at another endpoint.
+func (s *streamRelay) noteSoftware() {
+	h := s.handler
+	if s.lastID == "" && h.headers.LastEvent == "" || s.noted == h.attempts {
+		s.software, s.noted = h.software, h.attempts
+		return
+	}
+	kind := resumedUnknown
+	switch {
+	case s.lastID == "":
+	case s.software == h.software:
+		kind = resumedSame
+	default:
+		kind = resumedOther
+	}
+	h.gateway.metrics.resumed.Add(kind, 1)
+	h.gateway.Log.Debug().Str("request", string(h.headers.ID)).Str("resumes", string(h.headers.Resumes)).Str("after", h.headers.LastEvent).
+		Str("began", string(s.software)).Str("software", string(h.software)).Str("endpoint", string(h.endpoint)).Str("kind", kind).Msg("streamResumed")
+	s.software, s.noted = h.software, h.attempts
+}
+
+// The names of the counters of streams that went on at another endpoint: at one with the
+// software version that sent the events before, at one with another, and for a caller
+// whose stream was begun by an unknown one.
+const (
+	resumedSame    = "sameSoftware"
+	resumedOther   = "otherSoftware"
+	resumedUnknown = "unknownSoftware"
+)
+
 // writeHeader writes the response header of the first endpoint. Later calls do
 // nothing.
 func (s *streamRelay) writeHeader(response *upstream.Response) {
--- a/pkg/usher/gateway.go
+++ b/pkg/usher/gateway.go
@@ -138,6 +138,8 @@
 	Zone    AvailabilityZone
 	Slots   int
 	Leaving bool
+	// Software is the version of the endpoint's software.
+	Software SoftwareVersion
 	// ColdFor is the remaining warm-up time in which the endpoint is slow.
 	ColdFor time.Duration
 }
@@ -201,8 +203,10 @@
 	// Prefix lists the leading parts of the prompt in order.
 	Prefix []PromptPart
 	// LastEvent is the ID of the last event that the caller received of a stream
-	// it resumes.
+	// it resumes, and Resumes is the request that brought the first one; it is empty if
+	// not stated.
 	LastEvent string
+	Resumes   RequestID
 }
 
 // PromptPart is a part of a prompt that other requests may share.
--- a/pkg/usher/ids.go
+++ b/pkg/usher/ids.go
@@ -33,6 +33,9 @@
 	EndpointName string
 	// AvailabilityZone names the zone in which an instance or an endpoint runs.
 	AvailabilityZone string
+	// SoftwareVersion is the version of the software that an endpoint runs, which is
+	// not that of its model's weights. It is empty for one that states none.
+	SoftwareVersion string
 	// ModelName names a model that an engine can serve.
 	ModelName string
 	// IdempotencyKey is chosen by the caller and identifies an operation within
