--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -125,7 +125,7 @@
 // register writes the registration of a replica to the store.
 func (c *cluster) register(r *replica, state string) {
 	c.writeObject(usher.ObjectKey("servers/"+r.id), map[string]any{
-		"service": r.service, "address": cmp.Or(r.proxyAddress, r.address()), "zone": "z1", "version": "v1", "slots": cap(r.slots),
+		"service": r.service, "address": cmp.Or(r.proxyAddress, r.address()), "zone": "z1", "version": r.version, "slots": cap(r.slots),
 		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1700000000000,
 	})
 }
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -23,6 +23,8 @@
 type replica struct {
 	id      string
 	service string
+	// version is the version of the replica's software.
+	version string
 	// proxyAddress is the address that gateways use for the replica, if not its own.
 	proxyAddress    string
 	eventsPerStream int
@@ -66,7 +68,7 @@
 func newReplica(t *testing.T, id, service string, slots, eventsPerStream int) *replica {
 	t.Helper()
 	r := &replica{
-		id: id, service: service, eventsPerStream: eventsPerStream, slots: make(chan struct{}, slots), queueLimit: slots,
+		id: id, service: service, version: "v1", eventsPerStream: eventsPerStream, slots: make(chan struct{}, slots), queueLimit: slots,
 		executions: make(map[string]int), eventInterval: time.Millisecond, processingTime: time.Millisecond, abortAfter: -1,
 	}
 	r.server = httptest.NewServer(r)
