--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +51,14 @@
 	Started bool
 	// Tried lists the endpoints that the request was already sent to.
 	Tried []usher.EndpointName
+	// Software restricts the request to endpoints with that software version; nil allows
+	// any.
+	Software *usher.SoftwareVersion
+}
+
+// mayUse reports whether the request may be sent to the endpoint at all.
+func (r *Request) mayUse(e *endpoint) bool {
+	return (r.Software == nil || *r.Software == e.Software) && !slices.Contains(r.Tried, e.Name)
 }
 
 // Options are the settings of a scheduler. Zone is the availability zone of this
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -200,3 +200,45 @@
 		i++
 	}
 }
+
+func TestRequestWaitsForItsSoftwareVersion(t *testing.T) {
+	s := New(Options{Self: "g", Now: time.Now})
+	s.SetEndpoints("s", ServiceSpec{Engine: true, Slots: 1}, []usher.Registration{
+		{Name: "old", Service: "s", Slots: 1, Software: "v1"}, {Name: "new", Service: "s", Slots: 2, Software: "v2"},
+	})
+	old := usher.SoftwareVersion("v1")
+	restricted := func(id string) *Request {
+		request := newRequest(id)
+		request.Software, request.Started = &old, true
+		return request
+	}
+	first, err := s.Admit(t.Context(), restricted("1"))
+	if err != nil || first.Endpoint.Name != "old" {
+		t.Fatalf("got %v, error %v", first, err)
+	}
+	if grant := s.TryAdmit(restricted("2")); grant != nil {
+		t.Errorf("moved to %s", grant.Endpoint.Name)
+	}
+	waiting := make(chan *Grant)
+	go func() {
+		grant, err := s.Admit(t.Context(), restricted("3"))
+		if err != nil {
+			t.Error(err)
+		}
+		waiting <- grant
+	}()
+	for queued := 0; queued == 0; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		queued = s.service("s").queue.len()
+		s.mu.Unlock()
+	}
+	// It does not hold up a request that may go to the other version.
+	other, err := s.Admit(t.Context(), newRequest("4"))
+	if err != nil || other.Endpoint.Name != "new" {
+		t.Fatalf("got %v, error %v", other, err)
+	}
+	first.End(Answered)
+	if grant := <-waiting; grant == nil || grant.Endpoint.Name != "old" {
+		t.Errorf("got %v", grant)
+	}
+}
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"filbertusher/pkg/usher"
@@ -199,7 +198,7 @@
 	left := request.Deadline.Sub(now)
 	deadlineMet := false
 	for _, e := range svc.endpoints {
-		if slices.Contains(request.Tried, e.Name) {
+		if !request.mayUse(e) {
 			continue
 		}
 		first := e.timeToFirstEvent(svc, max(0, request.Prompt-svc.prefixes.cachedTokens(request.Prefix, e.Name)), now)
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -257,11 +257,11 @@
 }
 
 // minTimeToFirstEvent returns the shortest expected time to first event of all
-// endpoints that were not tried, with a safety margin.
+// endpoints that the request may use, with a safety margin.
 func (s *Scheduler) minTimeToFirstEvent(svc *service, request *Request, now time.Time) time.Duration {
 	shortest := time.Duration(math.MaxInt64)
 	for _, e := range svc.endpoints {
-		if !slices.Contains(request.Tried, e.Name) {
+		if request.mayUse(e) {
 			shortest = min(shortest, e.timeToFirstEvent(svc, request.Prompt, now))
 		}
 	}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -12,6 +12,7 @@
 	"filbertusher/internal/blame"
 	"filbertusher/internal/quota"
 	"filbertusher/internal/routing"
+	"filbertusher/internal/streamorigin"
 	"filbertusher/pkg/usher"
 )
 
@@ -32,6 +33,10 @@
 	workspace *usher.WorkspaceSpec
 	service   usher.ServiceName
 	version   usher.Version
+	// origin is where the stream began that the caller receives, and knowledge what is
+	// known of it. It is Unknown for a stream without events.
+	origin    streamorigin.Origin
+	knowledge streamorigin.Knowledge
 	// quotaCharged and retryCredited are set once the request was counted against
 	// the quota and credited to the retry budget.
 	quotaCharged  bool
@@ -186,6 +191,9 @@
 			return usher.NewRefusal(usher.RefusalUnauthorized, "the credential is not known")
 		}
 	}
+	if h.knowledge != streamorigin.Unknown && !routing.RoutesTo(route, h.origin.Service) {
+		return usher.NewRefusal(usher.RefusalNoEndpoint, "the route no longer sends to the service that began the stream")
+	}
 	if !routing.RoutesTo(route, h.service) {
 		h.service = routing.PickService(route, h.headers.ID)
 		h.traitsOnce = sync.Once{}
--- a/internal/gateway/monitor.go
+++ b/internal/gateway/monitor.go
@@ -159,6 +159,9 @@
 	}
 	g := m.handler.gateway
 	if g.Budget.Balance(m.handler.service) >= 1 && m.handler.stillPermitted() {
+		if m.responding {
+			m.fallback.Software = &m.endpoint.Software
+		}
 		m.nextGrant = g.Scheduler.TryAdmit(m.fallback)
 	}
 	if m.nextGrant == nil || !g.Budget.TrySpend(m.handler.service) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"filbertusher/internal/dispatch"
+	"filbertusher/internal/streamorigin"
 	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
 )
@@ -33,7 +34,7 @@
 	for {
 		if grant == nil {
 			var refusal *usher.Refusal
-			if grant, refusal = h.admit(ctx, h.dispatchRequest(tried, relay.started)); refusal != nil {
+			if grant, refusal = h.admit(ctx, h.dispatchRequest(tried, relay.started || h.knowledge == streamorigin.Recorded)); refusal != nil {
 				h.abandon(ctx, relay, refusal, mayHaveRun)
 				return
 			}
@@ -50,6 +51,12 @@
 				continue
 			}
 		}
+		if !h.mayContinueAt(&grant.Endpoint) {
+			// The stream began while another endpoint was sought for it.
+			grant.End(dispatch.Cancelled)
+			grant = nil
+			continue
+		}
 		tried = append(tried, grant.Endpoint.Name)
 		result, nextGrant := h.attempt(ctx, grant, tried, relay)
 		switch result.outcome {
@@ -83,6 +90,7 @@
 		ID: h.headers.ID, Service: h.service, Route: h.route.Name, Rank: h.rank(), Started: started,
 		Prompt: h.headers.Cost.PromptTokens, Answer: h.headers.Cost.AnswerTokens,
 		Prefix: h.headers.Prefix, Arrived: h.arrived, Deadline: h.deadline, Tried: tried,
+		Software: h.requiredSoftware(),
 	}
 	if h.headers.ExpectedAnswerTokens > 0 {
 		request.Answer = h.headers.ExpectedAnswerTokens
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,11 +27,9 @@
 	handler *requestHandler
 	started bool
 	lastID  string
-	// software is the version of the endpoint that sent the last event.
-	software usher.SoftwareVersion
-	// noted is the attempt whose software was noted last.
-	noted      int
-	controller *http.ResponseController
+	// notedAttempt is the last attempt that was checked by noteResumed.
+	notedAttempt int
+	controller   *http.ResponseController
 	// writeFailed is set when a write to the caller failed.
 	writeFailed bool
 }
@@ -83,6 +81,7 @@
 // copyEvents relays events until the stream ends, and returns why it ended: io.EOF
 // for a complete stream.
 func (s *streamRelay) copyEvents(grant *dispatch.Grant, response *upstream.Response, events *upstream.EventReader, monitor *attemptMonitor) error {
+	h := s.handler
 	unreportedEvents := 0
 	for n := 0; ; n++ {
 		event, err := events.Next()
@@ -97,6 +96,7 @@
 			unreportedEvents = 0
 		}
 		s.writeHeader(response)
+		h.beginStream()
 		monitor.beginDelivery()
 		err = s.writeEvent(event, events.Pending())
 		monitor.endDelivery()
@@ -116,7 +116,7 @@
 	if _, err := h.writer.Write(event.Raw); err != nil {
 		return err
 	}
-	s.noteSoftware()
+	s.noteResumed()
 	s.lastID = event.ID
 	if more {
 		return nil
@@ -124,30 +124,27 @@
 	return s.controller.Flush()
 }
 
-// noteSoftware counts and logs a stream that goes on at another endpoint.
-func (s *streamRelay) noteSoftware() {
+// noteResumed counts and logs a stream that goes on at another endpoint.
+func (s *streamRelay) noteResumed() {
 	h := s.handler
-	if s.lastID == "" && h.headers.LastEvent == "" || s.noted == h.attempts {
-		s.software, s.noted = h.software, h.attempts
+	isFirst := s.lastID == "" && h.headers.LastEvent == ""
+	if s.notedAttempt == h.attempts || isFirst {
+		s.notedAttempt = h.attempts
 		return
 	}
-	kind := resumedUnknown
-	switch {
-	case s.lastID == "":
-	case s.software == h.software:
-		kind = resumedSame
-	default:
+	s.notedAttempt = h.attempts
+	kind := resumedSame
+	if h.origin.Software != h.software {
 		kind = resumedOther
 	}
 	h.gateway.metrics.resumed.Add(kind, 1)
 	h.gateway.Log.Debug().Str("request", string(h.headers.ID)).Str("resumes", string(h.headers.Resumes)).Str("after", h.headers.LastEvent).
-		Str("began", string(s.software)).Str("software", string(h.software)).Str("endpoint", string(h.endpoint)).Str("kind", kind).Msg("streamResumed")
-	s.software, s.noted = h.software, h.attempts
+		Str("began", string(h.origin.Software)).Str("software", string(h.software)).Str("endpoint", string(h.endpoint)).Msg("streamResumed")
 }
 
 // The names of the counters of streams that went on at another endpoint: at one with the
-// software version that sent the events before, at one with another, and for a caller
-// whose stream was begun by an unknown one.
+// software version that began the stream, at one with another, and those that did not go
+// on because it is unknown which one began them.
 const (
 	resumedSame    = "sameSoftware"
 	resumedOther   = "otherSoftware"
