--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -32,6 +32,7 @@
 	"filbertusher/internal/retrybudget"
 	"filbertusher/internal/roster"
 	"filbertusher/internal/routing"
+	"filbertusher/internal/streamorigin"
 	"filbertusher/internal/telemetry"
 	"filbertusher/internal/upstream"
 	"filbertusher/internal/wire"
@@ -101,6 +102,7 @@
 	quota         *quota.Quota
 	budget        *retrybudget.Budget
 	blame         *blame.Table
+	streams       *streamorigin.Table
 	watcher       *discovery.Watcher
 	peering       *peering.Peering
 	gateway       *gateway.Gateway
@@ -175,6 +177,7 @@
 	}, self.Incarnation, s.Bootstrap, time.Now)
 	p.budget = retrybudget.New(retryBudgetLimits(s), time.Now)
 	p.blame = newBlame(p.log)
+	p.streams = streamorigin.New(time.Now)
 	client := platform.NewClient(func() string { return p.settings.Load().StoreAddress })
 	p.store = client
 	p.watcher = discovery.New(discovery.Options{
@@ -182,7 +185,7 @@
 		RewriteGrace: s.Bounds.RegistrationGrace, OnInstances: p.setInstances, OnEndpointsChanged: p.updateScheduler,
 	})
 	p.peering = peering.New(self, s.SeedAddresses, peering.Dependencies{
-		Routes: p.routes, Roster: p.roster, Scheduler: p.scheduler, Quota: p.quota, Blame: p.blame,
+		Routes: p.routes, Roster: p.roster, Scheduler: p.scheduler, Quota: p.quota, Blame: p.blame, Streams: p.streams,
 		Log: p.log, RosterAge: p.watcher.RosterAge, OnEndpointsChanged: p.updateScheduler,
 	})
 	p.recorder = record.NewRecorder(record.RecorderOptions{
@@ -192,7 +195,7 @@
 		MaxRevocationDelay: s.Bounds.MaxRevocationDelay, BodyMemory: s.MemoryLimitBytes / bodyMemoryDivisor,
 	}, gateway.Dependencies{
 		Codec: platform.HeaderCodec{}, Routes: p.routes, Scheduler: p.scheduler, Pool: p.pool,
-		Quota: p.quota, Budget: p.budget, Blame: p.blame, Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
+		Quota: p.quota, Budget: p.budget, Blame: p.blame, Streams: p.streams, Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
 	})
 }
 
@@ -222,8 +225,10 @@
 	return names
 }
 
-// updateScheduler passes the endpoints of each configured service to the scheduler.
+// updateScheduler passes the endpoints of each configured service to the scheduler, and
+// all endpoints to what keeps track of their software versions.
 func (p *gatewayProcess) updateScheduler() {
+	p.streams.SetEndpoints(p.roster.Snapshot().ByName)
 	index := p.routes.Index()
 	if index == nil {
 		return
@@ -260,6 +265,7 @@
 	p.admin.AddSection("dispatch", p.scheduler.State)
 	p.admin.AddSection("peers", p.peering.State)
 	p.admin.AddSection("suspects", p.blame.State)
+	p.admin.AddSection("streams", p.streams.State)
 	p.admin.AddSection("record", p.recorder.State)
 
 	// requestCtx is the context of the requests in flight. A graceful stop cancels it
@@ -278,6 +284,7 @@
 	group.Go(func() error { return p.recorder.Run(ctx, noPeers{}) })
 	group.Go(func() error { p.blame.Sync(ctx, p.store, blame.ReadOnce, p.log); return nil })
 	group.Go(func() error { logRestorations(ctx, p.store, p.log); return nil })
+	group.Go(func() error { p.streams.Sync(ctx, p.store, p.log); return nil })
 	group.Go(func() error { p.contactSeeds(ctx); return nil })
 	group.Go(func() error { pause.Every(ctx, poolSweepInterval, p.closeStaleConnections); return nil })
 	group.Go(func() error { p.watchSettings(ctx); return nil })
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -108,6 +108,9 @@
 	if refusal := h.resolve(); refusal != nil {
 		return refusal
 	}
+	if refusal := h.resolveOrigin(); refusal != nil {
+		return refusal
+	}
 	h.setDeadline()
 	if err := h.gateway.Recorder.CheckCapacity(h.rank()); err != nil {
 		return asRefusal(err)
@@ -192,7 +195,7 @@
 		}
 	}
 	if h.knowledge != streamorigin.Unknown && !routing.RoutesTo(route, h.origin.Service) {
-		return usher.NewRefusal(usher.RefusalNoEndpoint, "the route no longer sends to the service that began the stream")
+		return usher.NewRefusal(usher.RefusalStreamOrigin, "the route no longer sends to the service that began the stream")
 	}
 	if !routing.RoutesTo(route, h.service) {
 		h.service = routing.PickService(route, h.headers.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"filbertusher/internal/record"
 	"filbertusher/internal/retrybudget"
 	"filbertusher/internal/routing"
+	"filbertusher/internal/streamorigin"
 	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
 )
@@ -40,6 +41,7 @@
 	Quota     *quota.Quota
 	Budget    *retrybudget.Budget
 	Blame     *blame.Table
+	Streams   *streamorigin.Table
 	Recorder  usher.Recorder
 	IDs       record.IDSource
 	Log       zerolog.Logger
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -1,10 +1,43 @@
 package gateway
 
 import (
+	"slices"
+
+	"filbertusher/internal/routing"
 	"filbertusher/internal/streamorigin"
 	"filbertusher/pkg/usher"
 )
 
+// resolveOrigin finds out where the stream began that the caller takes up. A stream may go
+// on only at the service and the software version that began it, and is refused if these
+// are not known.
+func (h *requestHandler) resolveOrigin() *usher.Refusal {
+	if h.headers.LastEvent == "" || h.route.Kind != usher.KindStream || !h.route.Resumable {
+		return nil
+	}
+	streams := h.gateway.Streams
+	h.origin, h.knowledge = streams.Of(h.headers.Resumes, servicesOf(h.route))
+	if h.knowledge == streamorigin.Unknown {
+		h.gateway.metrics.resumed.Add(resumedUnknown, 1)
+		return usher.NewRefusal(usher.RefusalStreamOrigin, "it is not known which software version began the stream").WithRetryAfter(defaultRetryAfter)
+	}
+	if h.knowledge == streamorigin.Inferred && h.headers.Resumes != "" {
+		streams.Infer(h.headers.Resumes, h.origin)
+	}
+	h.service = h.origin.Service
+	return h.resolve()
+}
+
+// servicesOf returns the services that a route may send to.
+func servicesOf(route *usher.Route) (services []usher.ServiceName) {
+	for _, share := range route.Split {
+		if routing.RoutesTo(route, share.Service) && !slices.Contains(services, share.Service) {
+			services = append(services, share.Service)
+		}
+	}
+	return services
+}
+
 // beginStream notes that the first event of a stream is passed on.
 func (h *requestHandler) beginStream() {
 	if h.knowledge != streamorigin.Unknown {
@@ -12,6 +45,9 @@
 	}
 	h.origin = streamorigin.Origin{Service: h.service, Software: h.software}
 	h.knowledge = streamorigin.Recorded
+	if h.route.Resumable {
+		h.gateway.Streams.Began(h.headers.ID, h.origin)
+	}
 }
 
 // mayContinueAt reports whether the stream may go on, or begin, at an endpoint.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -21,6 +21,7 @@
 	"filbertusher/internal/quota"
 	"filbertusher/internal/roster"
 	"filbertusher/internal/routing"
+	"filbertusher/internal/streamorigin"
 	"filbertusher/pkg/usher"
 )
 
@@ -67,6 +68,7 @@
 	Dispatch dispatch.Report
 	Quota    quota.Report
 	Blame    []blame.Record
+	Streams  streamorigin.Report
 }
 
 // Dependencies are the components whose state is exchanged.
@@ -76,6 +78,7 @@
 	Scheduler *dispatch.Scheduler
 	Quota     *quota.Quota
 	Blame     *blame.Table
+	Streams   *streamorigin.Table
 	Log       zerolog.Logger
 	// RosterAge returns the time since the store last confirmed the roster.
 	RosterAge func() time.Duration
@@ -105,6 +108,10 @@
 	cancel    context.CancelFunc
 	lastReply time.Time
 	silent    bool
+	// streams is how much the incarnation of the peer that replied last was told of the
+	// origins of streams. Only runExchanges uses both.
+	streams     streamorigin.Cursor
+	incarnation usher.Incarnation
 }
 
 // New returns a Peering without peers; SetInstances adds them.
@@ -186,7 +193,10 @@
 	defer cancel()
 	sentAt := boottime.Now()
 	var reply Report
-	err := remote.client.Call(exchangeCtx, serviceName+".Exchange", p.report(false), &reply)
+	report := p.report(false)
+	streams := remote.streams
+	report.Streams, streams = p.deps.Streams.Report(streams)
+	err := remote.client.Call(exchangeCtx, serviceName+".Exchange", report, &reply)
 	if ctx.Err() != nil {
 		return
 	}
@@ -196,6 +206,11 @@
 		return
 	}
 	p.markReachable(remote)
+	if reply.Incarnation != remote.incarnation {
+		// What an earlier incarnation was told is lost.
+		remote.incarnation, streams = reply.Incarnation, streamorigin.Cursor{}
+	}
+	remote.streams = streams
 	p.merge(&reply)
 	// ProofAge was measured after the request was sent, so subtracting it from
 	// the time of sending never overstates how recent the proof is.
@@ -224,6 +239,7 @@
 	p.deps.Quota.Merge(report.Name, report.Quota)
 	p.deps.Scheduler.ApplyReport(report.Name, report.Dispatch)
 	p.deps.Blame.Merge(report.Blame)
+	p.deps.Streams.Merge(report.Streams)
 }
 
 func (p *Peering) markReachable(remote *peer) {
--- a/pkg/usher/errors.go
+++ b/pkg/usher/errors.go
@@ -51,6 +51,7 @@
 	RefusalCancelled        RefusalKind = "cancelled"
 	RefusalRecordFull       RefusalKind = "recordFull"
 	RefusalStaleConfig      RefusalKind = "staleConfiguration"
+	RefusalStreamOrigin     RefusalKind = "streamOriginUnknown"
 	RefusalInternal         RefusalKind = "internal"
 )
 
@@ -83,6 +84,7 @@
 	RefusalEndpointFailed:   http.StatusBadGateway,
 	RefusalRecordFull:       http.StatusServiceUnavailable,
 	RefusalStaleConfig:      http.StatusServiceUnavailable,
+	RefusalStreamOrigin:     http.StatusServiceUnavailable,
 }
 
 // Refusal is the error response to a request that was rejected, failed or got
