--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -213,6 +213,9 @@
 		grant.End(endForRejection(response))
 		return attemptResult{outcome: notRun, cause: &RejectedError{Status: response.Status}}
 	}
+	if relay.started && !relay.continues(response) {
+		return relay.rejectContinuation(grant, response)
+	}
 	if h.route.Kind == usher.KindStream && response.Status == http.StatusOK {
 		return relay.forward(ctx, grant, response, monitor)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"filbertusher/internal/dispatch"
@@ -30,6 +32,8 @@
 	// notedAttempt is the last attempt that was checked by noteResumed.
 	notedAttempt int
 	controller   *http.ResponseController
+	// mediaType is that of the first endpoint's response.
+	mediaType string
 	// writeFailed is set when a write to the caller failed.
 	writeFailed bool
 }
@@ -71,6 +75,45 @@
 	return attemptResult{outcome: delivered}
 }
 
+// continues reports whether a response holds the rest of the stream that has begun.
+func (s *streamRelay) continues(response *upstream.Response) bool {
+	return response.Status == http.StatusOK && mediaType(response) == s.mediaType
+}
+
+// rejectContinuation ends an attempt whose response holds anything else than the rest of
+// the stream. The caller has the header of a success and part of its body, so the response
+// can't be passed on.
+func (s *streamRelay) rejectContinuation(grant *dispatch.Grant, response *upstream.Response) attemptResult {
+	response.Close(false)
+	if response.Status >= http.StatusInternalServerError {
+		grant.End(dispatch.Failed)
+	} else {
+		grant.End(dispatch.Answered)
+	}
+	return attemptResult{outcome: failed, cause: &NotResumedError{Status: response.Status, MediaType: mediaType(response)}}
+}
+
+// NotResumedError is the cause of an attempt whose endpoint answered a request for the
+// rest of a stream with something else.
+type NotResumedError struct {
+	Status    int
+	MediaType string
+}
+
+// Error implements error.
+func (e *NotResumedError) Error() string {
+	return "status " + strconv.Itoa(e.Status) + " and media type " + strconv.Quote(e.MediaType) + " in place of the rest of the stream"
+}
+
+// mediaType returns the media type of a response, or "" if there is none that is valid.
+func mediaType(response *upstream.Response) string {
+	parsed, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return parsed
+}
+
 func streamProgress(events int) responseProgress {
 	if events > 0 {
 		return progressEvents
@@ -161,6 +204,7 @@
 	s.started = true
 	s.controller = http.NewResponseController(h.writer)
 	_ = s.controller.SetWriteDeadline(h.deadline.Add(writeDeadlineMargin))
+	s.mediaType = mediaType(response)
 	h.firstLatency = time.Since(h.arrived)
 	h.status = response.Status
 	header := h.writer.Header()
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -50,6 +50,9 @@
 	crashPart string
 	unframed  bool
 	onArrival func(*http.Request)
+	// resumeStatus is the status with which requests for the rest of a stream are answered,
+	// after they have run, if it is not 0.
+	resumeStatus int
 	// rateLimit is the Server-Limit that responses name, if it is not empty.
 	rateLimit      string
 	executions     map[string]int
@@ -161,6 +164,10 @@
 		r.pendingResets--
 	}
 	processingTime, eventInterval, abortAfter := r.processingTime, r.eventInterval, r.abortAfter
+	resumeStatus := r.resumeStatus
+	if request.Header.Get("Last-Event-Id") == "" {
+		resumeStatus = 0
+	}
 	crashes := r.crashPath != "" && request.URL.Path == r.crashPath
 	r.mu.Unlock()
 	if crashes {
@@ -175,6 +182,10 @@
 	}
 	w.Header().Set("X-Filbertusher-Response-Seal", "seal-"+id)
 	switch {
+	case resumeStatus != 0:
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(resumeStatus)
+		_, _ = io.WriteString(w, errorText)
 	case resets:
 		r.reset(w)
 	case fails:
@@ -190,6 +201,9 @@
 	}
 }
 
+// errorText is the body of the responses with the status resumeStatus.
+const errorText = "the replica could not go on"
+
 // crash closes the listener and all connections.
 func (r *replica) crash(w http.ResponseWriter) {
 	_ = r.server.Listener.Close()
