--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -197,13 +197,16 @@
 			}
 			continue
 		}
-		if metadata.ID == "" && !metadata.NotRun && !metadata.OtherEndpoint {
+		refused := metadata.NotRun || metadata.OtherEndpoint
+		if metadata.ID == "" && (!refused || c.served > 0) {
+			// On a connection that was used before, a refusal may be one that the endpoint
+			// has written once more.
 			return nil, &InvalidResponseError{Reason: "an answer without the id of its request"}
 		}
 		return &Response{
 			Status: response.StatusCode, Header: response.Header, Metadata: metadata,
 			Length: response.ContentLength, Body: response.Body, body: response.Body,
-			conn: c, writeResult: writeResult, reusable: reusable && !response.Close, framed: hasFraming(response),
+			conn: c, writeResult: writeResult, reusable: reusable && !refused && !response.Close, framed: hasFraming(response),
 		}, nil
 	}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -294,3 +294,53 @@
 	r.text = r.text[n:]
 	return n, nil
 }
+
+// A faulty endpoint writes an earlier refusal once more, at the time at which the next
+// response is due, and then runs the next request.
+func TestRepeatedRefusalIsNotTakenForNextRequest(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Full\r\n" + id + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	}
+	for name, c := range map[string]struct {
+		// responses are those to the requests on the first connection.
+		responses []string
+		// id is the ID of the second request.
+		id usher.RequestID
+	}{
+		"with the id of its request":        {[]string{refusal("Id: 1\r\n"), refusal("Id: 1\r\n") + okResponse("2", "mine")}, "2"},
+		"without an id":                     {[]string{refusal(""), refusal("") + okResponse("2", "mine")}, "2"},
+		"without an id, on a used one":      {[]string{okResponse("1", "x"), refusal("") + okResponse("2", "mine")}, "2"},
+		"the same request is sent again":    {[]string{refusal("Id: 1\r\n"), refusal("Id: 1\r\n") + okResponse("1", "mine")}, "1"},
+		"another endpoint, on a used one":   {[]string{okResponse("1", "x"), "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n" + okResponse("2", "mine")}, "2"},
+		"of another request, on a used one": {[]string{okResponse("1", "x"), refusal("Id: 0\r\n") + okResponse("2", "mine")}, "2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := listen(t, func(conn net.Conn, reader *bufio.Reader, n int) {
+				if n > 0 {
+					respondWith(okResponse(string(c.id), "mine"))(conn, reader, n)
+					return
+				}
+				respondWith(c.responses...)(conn, reader, n)
+			})
+			pool := upstream.New(fakeCodec{})
+			exchange := func(id usher.RequestID) (refused bool) {
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				response, err := pool.Send(ctx, &e.Registration, &upstream.Request{ID: id, Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+				if lost := new(upstream.ResponseLostError); errors.As(err, &lost) && ctx.Err() == nil {
+					return false
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, err = io.ReadAll(response.Body)
+				response.Close(err == nil)
+				return response.Metadata.NotRun || response.Metadata.OtherEndpoint
+			}
+			exchange("1")
+			if exchange(c.id) {
+				t.Error("an earlier refusal was taken for the response to a request that ran")
+			}
+		})
+	}
+}
