--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -104,10 +104,10 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/objects/{kind}", s.listOrWatch)
-	mux.HandleFunc("GET /v1/objects/{kind}/{name...}", s.get)
+	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.get)
 	mux.HandleFunc("POST /v1/objects/{kind}", s.create)
-	mux.HandleFunc("PUT /v1/objects/{kind}/{name...}", s.replace)
-	mux.HandleFunc("DELETE /v1/objects/{kind}/{name...}", s.remove)
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.replace)
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.remove)
 	mux.HandleFunc("PUT /control/faults", s.setFaults)
 	mux.HandleFunc("PUT /control/instances", s.setInstances)
 	mux.HandleFunc("POST /control/forget", s.reset)
