--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -210,6 +210,7 @@
 	p.scheduler.SetMembers(names)
 	p.budget.SetInstanceCount(len(names))
 	p.quota.SetInstanceCount(len(names))
+	p.streams.SetInstanceCount(len(names))
 	p.peering.SetInstances(ctx, instances)
 }
 
@@ -284,7 +285,8 @@
 	group.Go(func() error { return p.recorder.Run(ctx, noPeers{}) })
 	group.Go(func() error { p.blame.Sync(ctx, p.store, blame.ReadOnce, p.log); return nil })
 	group.Go(func() error { logRestorations(ctx, p.store, p.log); return nil })
-	group.Go(func() error { p.streams.Sync(ctx, p.store, p.log); return nil })
+	group.Go(func() error { p.streams.Sync(ctx, p.store, s.Name, p.log); return nil })
+	group.Go(func() error { p.streams.Persist(ctx, p.store, s.Name, p.log); return nil })
 	group.Go(func() error { p.contactSeeds(ctx); return nil })
 	group.Go(func() error { pause.Every(ctx, poolSweepInterval, p.closeStaleConnections); return nil })
 	group.Go(func() error { p.watchSettings(ctx); return nil })
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -39,7 +39,7 @@
 	}
 	event.Uint64("version", uint64(h.version)).Int64("proofAgeMs", g.Routes.Age().Milliseconds()).
 		Int("prompt", int(h.headers.Cost.PromptTokens)).Int("answer", int(h.headers.Cost.AnswerTokens)).Int("hint", int(h.headers.ExpectedAnswerTokens)).Int("events", h.eventCount).
-		Str("endpoint", string(h.endpoint)).Str("software", string(h.software)).Str("resumes", string(h.headers.Resumes)).Int("attempts", h.attempts).Int("inside", h.endpointRunning).
+		Str("endpoint", string(h.endpoint)).Str("software", string(h.software)).Str("resumes", string(h.headers.Resumes)).Str("began", string(h.origin.Software)).Int("attempts", h.attempts).Int("inside", h.endpointRunning).
 		Int64("waitedMs", h.waited.Milliseconds()).Int64("expectedMs", h.expectedLatency.Milliseconds()).
 		Int64("firstMs", h.firstLatency.Milliseconds()).Int64("totalMs", total.Milliseconds()).
 		Str("detail", h.detail).Msg("request")
@@ -90,7 +90,7 @@
 		started: group.Counter("started"), suspected: group.Counter("suspected"), overQuota: group.Counter("overQuota"),
 		overBudget: group.Counter("overBudget"), repeated: group.Counter("repeated"), moved: group.Counter("moved"),
 		rateLimited: group.Counter("rateLimited"),
-		lost:        telemetry.NewMetrics("gatewayLost"), crashed: telemetry.NewMetrics("gatewayCrashed"),
+		lost: telemetry.NewMetrics("gatewayLost"), crashed: telemetry.NewMetrics("gatewayCrashed"),
 		resumed: telemetry.NewMetrics("gatewayResumed"),
 		refused: telemetry.NewMetrics("gatewayRefused"), statuses: telemetry.NewMetrics("gatewayStatus"),
 		firstEvent: newHistogram(), total: newHistogram(), waited: newHistogram(),
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -19,6 +19,7 @@
 	h.origin, h.knowledge = streams.Of(h.headers.Resumes, servicesOf(h.route))
 	if h.knowledge == streamorigin.Unknown {
 		h.gateway.metrics.resumed.Add(resumedUnknown, 1)
+		// A caller whose stream can't go on should learn it soon, to begin anew.
 		return usher.NewRefusal(usher.RefusalStreamOrigin, "it is not known which software version began the stream").WithRetryAfter(defaultRetryAfter)
 	}
 	if h.knowledge == streamorigin.Inferred && h.headers.Resumes != "" {
@@ -50,6 +51,17 @@
 	}
 }
 
+// finishStream notes that the whole stream was passed on.
+func (h *requestHandler) finishStream() {
+	if !h.route.Resumable {
+		return
+	}
+	h.gateway.Streams.Finished(h.headers.ID)
+	if h.headers.Resumes != "" {
+		h.gateway.Streams.Finished(h.headers.Resumes)
+	}
+}
+
 // mayContinueAt reports whether the stream may go on, or begin, at an endpoint.
 func (h *requestHandler) mayContinueAt(endpoint *usher.Registration) bool {
 	return h.knowledge == streamorigin.Unknown || h.origin == streamorigin.Origin{Service: endpoint.Service, Software: endpoint.Software}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -72,6 +72,7 @@
 		s.writeHeader(response)
 	}
 	h.outcome = usher.OutcomeRan
+	h.finishStream()
 	return attemptResult{outcome: delivered}
 }
 
--- a/internal/streamorigin/report.go
+++ b/internal/streamorigin/report.go
@@ -46,12 +46,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	report := Report{Loaded: t.loaded}
-	if !t.isMixed() {
+	if !t.isMixed(versionTTL) {
 		return report, Cursor{}
 	}
 	now := t.now()
 	for service, known := range t.services {
-		if len(t.recent(service)) < 2 {
+		if len(t.recent(service, versionTTL)) < 2 {
 			continue
 		}
 		for software, until := range known.servedUntil {
@@ -108,7 +108,7 @@
 func (t *Table) snapshot() []storedVersion {
 	var stored []storedVersion
 	for service, known := range t.services {
-		if len(t.recent(service)) < 2 {
+		if len(t.recent(service, versionTTL)) < 2 {
 			continue
 		}
 		for software, until := range known.servedUntil {
--- a/internal/streamorigin/sync.go
+++ b/internal/streamorigin/sync.go
@@ -44,12 +44,22 @@
 // Unwrap returns the cause.
 func (e *MalformedError) Unwrap() error { return e.Cause }
 
-// Sync reads the stored versions at the start, and keeps them up to date while several
-// versions serve, until ctx ends.
-func (t *Table) Sync(ctx context.Context, store usher.Store, log zerolog.Logger) {
+// Sync reads the stored versions and streams at the start, and keeps the versions up to
+// date while several serve, until ctx ends. name is that of this instance.
+func (t *Table) Sync(ctx context.Context, store usher.Store, name string, log zerolog.Logger) {
+	streamsLoaded := false
 	for ctx.Err() == nil {
 		restored := store.Restored()
-		err := t.syncOnce(ctx, store)
+		var err error
+		if !streamsLoaded {
+			if err = t.load(ctx, store, name); err == nil {
+				streamsLoaded = true
+				close(t.streamsLoaded)
+			}
+		}
+		if err == nil {
+			err = t.syncOnce(ctx, store)
+		}
 		if err != nil && ctx.Err() == nil {
 			log.Warn().Err(err).Msg("softwareVersionsNotStored")
 		}
@@ -72,7 +82,7 @@
 	switch {
 	case failed:
 		return time.After(retryInterval + rand.N(retryInterval))
-	case t.isMixed():
+	case t.isMixed(versionTTL):
 		return time.After(syncInterval/2 + rand.N(syncInterval/2))
 	default:
 		return nil
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -38,6 +38,13 @@
 	learned       []learnedOrigin
 	learnedBefore uint64
 	services      map[usher.ServiceName]*versions
+	// unfinished are the streams that began here and whose callers have not received all
+	// of them, with the times at which they began.
+	unfinished map[Key]time.Time
+	instances  int
+	// streamsLoaded is closed once the streams of before the start of this process are
+	// known, as far as they were stored.
+	streamsLoaded chan struct{}
 	// loaded is set once the versions of before the start of this process are known.
 	loaded bool
 	// changed is signalled when the versions change that have to be stored.
@@ -63,7 +70,7 @@
 func New(now func() time.Time) *Table {
 	return &Table{
 		now: now, origins: make(map[Key]Origin), services: make(map[usher.ServiceName]*versions),
-		changed: make(chan struct{}, 1),
+		unfinished: make(map[Key]time.Time), streamsLoaded: make(chan struct{}), changed: make(chan struct{}, 1),
 	}
 }
 
@@ -74,6 +81,7 @@
 	t.learn(keyOf(id), origin, true)
 	// A caller that takes up this stream before it began is not to be believed.
 	t.origins[keyOf(id)] = origin
+	t.unfinished[keyOf(id)] = t.now()
 }
 
 // Infer keeps an origin that Of has inferred, because it can't be inferred any more once
@@ -93,6 +101,7 @@
 	dropped := 0
 	for dropped < len(t.learned) && (now.Sub(t.learned[dropped].at) > originTTL || len(t.learned)-dropped >= maxOrigins) {
 		delete(t.origins, t.learned[dropped].key)
+		delete(t.unfinished, t.learned[dropped].key)
 		dropped++
 	}
 	t.learned = t.learned[dropped:]
@@ -112,22 +121,22 @@
 	if !t.loaded || len(services) != 1 {
 		return Origin{}, Unknown
 	}
-	recent := t.recent(services[0])
+	recent := t.recent(services[0], versionTTL)
 	if len(recent) != 1 {
 		return Origin{}, Unknown
 	}
 	return Origin{Service: services[0], Software: recent[0]}, Inferred
 }
 
-// recent returns the versions of a service that serve or served lately. The caller must
-// hold t.mu.
-func (t *Table) recent(service usher.ServiceName) (recent []usher.SoftwareVersion) {
+// recent returns the versions of a service that serve or served within a time. The caller
+// must hold t.mu.
+func (t *Table) recent(service usher.ServiceName, within time.Duration) (recent []usher.SoftwareVersion) {
 	known := t.services[service]
 	if known == nil {
 		return nil
 	}
 	for software, until := range known.servedUntil {
-		if until.IsZero() || t.now().Sub(until) < versionTTL {
+		if until.IsZero() || t.now().Sub(until) < within {
 			recent = append(recent, software)
 		}
 	}
@@ -135,11 +144,11 @@
 	return recent
 }
 
-// isMixed reports whether several versions of a service serve or served lately. The
-// caller must hold t.mu.
-func (t *Table) isMixed() bool {
+// isMixed reports whether several versions of a service serve or served within a time.
+// The caller must hold t.mu.
+func (t *Table) isMixed(within time.Duration) bool {
 	for service := range t.services {
-		if len(t.recent(service)) > 1 {
+		if len(t.recent(service, within)) > 1 {
 			return true
 		}
 	}
@@ -173,7 +182,7 @@
 			delete(t.services, service)
 		}
 	}
-	if changed && t.isMixed() {
+	if changed && t.isMixed(versionTTL) {
 		t.signalChange()
 	}
 }
@@ -210,7 +219,7 @@
 	defer t.mu.Unlock()
 	services := make(map[usher.ServiceName][]usher.SoftwareVersion, len(t.services))
 	for service := range t.services {
-		services[service] = t.recent(service)
+		services[service] = t.recent(service, versionTTL)
 	}
 	return struct {
 		Streams  int                                           `json:"streams"`
--- a/internal/streamorigin/table_test.go
+++ b/internal/streamorigin/table_test.go
@@ -102,7 +102,7 @@
 			table := streamorigin.New(time.Now)
 			ctx, cancel := context.WithCancel(t.Context())
 			done := make(chan struct{})
-			go func() { defer close(done); table.Sync(ctx, store.NewDirect(memory), zerolog.Nop()) }()
+			go func() { defer close(done); table.Sync(ctx, store.NewDirect(memory), "one", zerolog.Nop()) }()
 			return table, func() { cancel(); <-done }
 		}
 		one, stopOne := start()
@@ -135,6 +135,66 @@
 	})
 }
 
+func TestUnfinishedStreamsSurviveRestartOfAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		memory := store.NewMemory()
+		start := func(name string) (*streamorigin.Table, context.CancelFunc) {
+			table, direct := streamorigin.New(time.Now), store.NewDirect(memory)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{}, 2)
+			go func() { table.Sync(ctx, direct, name, zerolog.Nop()); done <- struct{}{} }()
+			go func() { table.Persist(ctx, direct, name, zerolog.Nop()); done <- struct{}{} }()
+			return table, func() { cancel(); <-done; <-done }
+		}
+		known := func(table *streamorigin.Table, id usher.RequestID, want streamorigin.Origin) {
+			t.Helper()
+			if got, knowledge := table.Of(id, []usher.ServiceName{"s"}); got != want || knowledge == streamorigin.Unknown {
+				t.Errorf("%s: got %v, %v", id, got, knowledge)
+			}
+		}
+		one, stopOne := start("one")
+		two, stopTwo := start("two")
+		for _, table := range []*streamorigin.Table{one, two} {
+			table.SetEndpoints(endpoints("v1"))
+		}
+		one.Began("before", origin("v1"))
+		for _, table := range []*streamorigin.Table{one, two} {
+			table.SetEndpoints(endpoints("v1", "v2"))
+		}
+		one.Began("a", origin("v1"))
+		two.Began("b", origin("v2"))
+		one.Began("whole", origin("v2"))
+		one.Finished("whole")
+		time.Sleep(time.Second)
+		_, revision := memory.List("")
+		time.Sleep(time.Second)
+		if _, later := memory.List(""); later != revision {
+			t.Error("what has not changed is written again")
+		}
+		// All instances are killed twice.
+		for range 2 {
+			stopOne()
+			stopTwo()
+			one, stopOne = start("one")
+			two, stopTwo = start("two")
+			for _, table := range []*streamorigin.Table{one, two} {
+				table.SetEndpoints(endpoints("v1", "v2"))
+			}
+			time.Sleep(time.Second)
+		}
+		for _, table := range []*streamorigin.Table{one, two} {
+			known(table, "before", origin("v1"))
+			known(table, "a", origin("v1"))
+			known(table, "b", origin("v2"))
+			if _, knowledge := table.Of("whole", []usher.ServiceName{"s"}); knowledge != streamorigin.Unknown {
+				t.Error("a stream that its caller has received is stored")
+			}
+		}
+		stopOne()
+		stopTwo()
+	})
+}
+
 // Reports are lost, and instances restart. Once an instance has got the reports that were
 // due since, it knows each stream that another one that still runs has begun.
 func TestReportsTellAllStreams(t *testing.T) {
--- a/test/gateway/version_test.go
+++ b/test/gateway/version_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"filbertusher/pkg/usher"
 )
 
 // versionsCluster has two gateways before replicas of several software versions.
@@ -215,6 +217,32 @@
 	c.takeUp(c.gateways[1], began)
 }
 
+func TestTakenUpStreamGoesOnAfterRestartOfAllGateways(t *testing.T) {
+	c := newVersionsCluster(t, "v1", "v1", "v2", "v2")
+	began := c.begin(c.gateways[0], 20)
+	c.eventually("the streams are stored", func() bool {
+		before := c.storedRevision("software-streams/g1")
+		return before > 0 && before == c.storedRevisionAfter(time.Second, "software-streams/g1")
+	})
+	c.restartAll()
+	c.prefer("v2")
+	if served := c.takeUp(c.gateways[1], began); served < len(began) {
+		t.Errorf("%d of %d streams went on", served, len(began))
+	}
+}
+
+// storedRevision returns the revision of an object, and storedRevisionAfter the one that
+// it has after a time.
+func (c *versionsCluster) storedRevision(key usher.ObjectKey) usher.Version {
+	object, _ := c.memory.Get(key)
+	return object.Version
+}
+
+func (c *versionsCluster) storedRevisionAfter(wait time.Duration, key usher.ObjectKey) usher.Version {
+	time.Sleep(wait)
+	return c.storedRevision(key)
+}
+
 func TestTakenUpStreamIsNotJoinedAfterOldVersionHasLeft(t *testing.T) {
 	c := newVersionsCluster(t, "v1", "v1")
 	began := c.begin(c.gateways[0], 10)
