--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -196,9 +196,18 @@
 	}, gateway.Dependencies{
 		Codec: platform.HeaderCodec{}, Routes: p.routes, Scheduler: p.scheduler, Pool: p.pool,
 		Quota: p.quota, Budget: p.budget, Blame: p.blame, Streams: p.streams, Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
+		OnLeaving: p.markLeaving,
 	})
 }
 
+// markLeaving keeps new requests from an endpoint that states in a response that it
+// leaves.
+func (p *gatewayProcess) markLeaving(endpoint *usher.Registration) {
+	if p.roster.MarkLeaving(endpoint) {
+		p.updateScheduler()
+	}
+}
+
 func retryBudgetLimits(s *platform.Settings) retrybudget.Limits {
 	return retrybudget.Limits{Ratio: s.Bounds.RetryBudgetRatio, Extra: s.Bounds.RetryBudgetExtra, Window: s.Bounds.RetryBudgetWindow}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,8 @@
 	Recorder  usher.Recorder
 	IDs       record.IDSource
 	Log       zerolog.Logger
+	// OnLeaving is called with an endpoint that states in a response that it leaves.
+	OnLeaving func(endpoint *usher.Registration)
 }
 
 // Options are the settings of a gateway. BodyMemory, in bytes, bounds the bodies of
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -206,7 +206,7 @@
 		h.gateway.metrics.rateLimited.Add(1)
 	}
 	if !response.Metadata.OtherEndpoint {
-		grant.ReportLimit(response.Metadata.RateLimit)
+		h.heedEndpoint(grant, &response.Metadata)
 	}
 	if response.Metadata.NotRun {
 		response.Close(false)
@@ -222,6 +222,15 @@
 	return h.bufferResponse(ctx, grant, response)
 }
 
+// heedEndpoint applies what an endpoint states of itself in the header of a response.
+func (h *requestHandler) heedEndpoint(grant *dispatch.Grant, metadata *usher.ResponseMetadata) {
+	grant.ReportLimit(metadata.RateLimit)
+	if metadata.Leaving {
+		h.gateway.metrics.leaving.Add(1)
+		h.gateway.OnLeaving(&grant.Endpoint)
+	}
+}
+
 func endForRejection(response *upstream.Response) dispatch.End {
 	if response.Metadata.OtherEndpoint {
 		return dispatch.Unreachable
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -110,6 +110,22 @@
 	return true
 }
 
+// MarkLeaving records that an incarnation of an endpoint states that it leaves, whatever
+// its registration says, and reports whether that is news.
+func (r *Roster) MarkLeaving(endpoint *usher.Registration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	current, known := r.endpoints[endpoint.Name]
+	if !known || current.Leaving || current.Born != endpoint.Born || current.Address != endpoint.Address {
+		return false
+	}
+	current.Leaving = true
+	r.endpoints[endpoint.Name] = current
+	r.notify(usher.EndpointChange{Registration: current, Usable: true}, "said so in a response")
+	r.publish()
+	return true
+}
+
 // Replace applies a complete list. Endpoints that are not on it are removed, or
 // treated as lapsed if the store recovered shortly before. It ignores a revision
 // older than the current one, and reports whether it applied the list.
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -197,3 +197,28 @@
 		t.Errorf("the grace period has passed: %s", diff)
 	}
 }
+
+func TestLeavingThatAnEndpointStatesItself(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	r := New(2*time.Second, c.now, nil)
+	list := []usher.EndpointChange{born(registered("a", false), 1), born(registered("b", false), 1)}
+	r.Replace(list, 5)
+	if !r.MarkLeaving(&list[0].Registration) || r.MarkLeaving(&list[0].Registration) {
+		t.Error("a leaving is news once")
+	}
+	if diff := cmp.Diff([]usher.EndpointName{"b"}, available(r)); diff != "" {
+		t.Error(diff)
+	}
+	r.Replace(list, 6)
+	if diff := cmp.Diff([]usher.EndpointName{"b"}, available(r)); diff != "" {
+		t.Errorf("an older word of the directory counts: %s", diff)
+	}
+	list[0] = born(list[0], 2)
+	r.Replace(list, 7)
+	if len(available(r)) != 2 {
+		t.Error("a new incarnation is not available")
+	}
+	if old := born(list[0], 1); r.MarkLeaving(&old.Registration) {
+		t.Error("a late response of the old incarnation binds the new one")
+	}
+}
--- a/pkg/usher/gateway.go
+++ b/pkg/usher/gateway.go
@@ -239,6 +239,11 @@
 	// RateLimit is how many requests per second the endpoint takes from all instances
 	// together; nil if it names no limit.
 	RateLimit *float64
+	// Leaving is set if the endpoint states that it drains.
+	Leaving bool
+	// Pause is how long the endpoint wants no requests from this instance; zero if it
+	// does not ask for that.
+	Pause time.Duration
 }
 
 // HeaderCodec encodes and decodes the HTTP headers that callers and endpoints use.
--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -116,17 +116,20 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	current, _ := c.memory.Get(key)
-	if _, written := c.memory.Write(key, current.Version, encoded, false); !written {
-		c.t.Fatalf("%s was changed concurrently", key)
+	// The store may go back at any moment.
+	for written := false; !written; {
+		current, _ := c.memory.Get(key)
+		_, written = c.memory.Write(key, current.Version, encoded, false)
 	}
 }
 
 // register writes the registration of a replica to the store.
 func (c *cluster) register(r *replica, state string) {
+	var born int64
+	r.update(func() { born = r.born })
 	c.writeObject(usher.ObjectKey("servers/"+r.id), map[string]any{
 		"service": r.service, "address": cmp.Or(r.proxyAddress, r.address()), "zone": "z1", "version": r.version, "slots": cap(r.slots),
-		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": 1700000000000,
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": born,
 	})
 }
 
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -23,8 +23,9 @@
 type replica struct {
 	id      string
 	service string
-	// version is the version of the replica's software.
+	// version is the version of the replica's software, and born when it was started.
 	version string
+	born    int64
 	// proxyAddress is the address that gateways use for the replica, if not its own.
 	proxyAddress    string
 	eventsPerStream int
@@ -53,6 +54,12 @@
 	// resumeStatus is the status with which requests for the rest of a stream are answered,
 	// after they have run, if it is not 0.
 	resumeStatus int
+	// leaving makes the replica state in all responses that it leaves. With shedFor, a
+	// number of seconds, it rejects all requests and wants no others for so long.
+	leaving bool
+	shedFor string
+	// arrivals are the times at which requests arrived, by the address of their sender.
+	arrivals []replicaArrival
 	// rateLimit is the Server-Limit that responses name, if it is not empty.
 	rateLimit      string
 	executions     map[string]int
@@ -62,6 +69,13 @@
 	cancelled      int
 }
 
+// replicaArrival is when a request arrived at a replica, and whether the replica shed it.
+type replicaArrival struct {
+	at   time.Time
+	from string
+	shed bool
+}
+
 // executionStart is when the execution of a request of a workspace began.
 type executionStart struct {
 	at        time.Time
@@ -71,7 +85,7 @@
 func newReplica(t *testing.T, id, service string, slots, eventsPerStream int) *replica {
 	t.Helper()
 	r := &replica{
-		id: id, service: service, version: "v1", eventsPerStream: eventsPerStream, slots: make(chan struct{}, slots), queueLimit: slots,
+		id: id, service: service, version: "v1", born: 1700000000000, eventsPerStream: eventsPerStream, slots: make(chan struct{}, slots), queueLimit: slots,
 		executions: make(map[string]int), eventInterval: time.Millisecond, processingTime: time.Millisecond, abortAfter: -1,
 	}
 	r.server = httptest.NewServer(r)
@@ -117,12 +131,23 @@
 	if r.rateLimit != "" {
 		w.Header().Set("Server-Limit", r.rateLimit)
 	}
+	if r.leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	shedFor := r.shedFor
+	r.arrivals = append(r.arrivals, replicaArrival{at: time.Now(), from: request.Header.Get("X-Filbertusher-Tenant-Id") + request.Header.Get("Via-Gateway"), shed: shedFor != ""})
 	r.mu.Unlock()
 	if expected := request.Header.Get("X-Filbertusher-Expect-Instance"); expected != r.id {
 		w.Header().Set("X-Filbertusher-Instance-Id", r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if shedFor != "" {
+		w.Header().Set("X-Filbertusher-Not-Executed", "1")
+		w.Header().Set("Retry-After", shedFor)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if !r.acquireSlot(request) {
 		w.Header().Set("X-Filbertusher-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/test/gateway/soak_faults_test.go
+++ b/test/gateway/soak_faults_test.go
@@ -19,7 +19,7 @@
 // faults returns the kinds of faults and how often they occur relative to each
 // other. Requests may fail only during those wrapped in unplanned.
 func (s *soak) faults() []chaos.Fault {
-	return []chaos.Fault{
+	faults := []chaos.Fault{
 		{Name: "kill gateway", Target: "gateway", Weight: 3, Inject: s.unplanned(s.killGateway)},
 		{Name: "freeze gateway", Target: "gateway", Weight: 3, Inject: s.unplanned(s.freezeGateway)},
 		{Name: "stop gateway gracefully", Target: "gateway", Weight: 3, Inject: s.stopGateway},
@@ -41,6 +41,65 @@
 		{Name: "rotate credential", Target: "config", Weight: 3, Inject: s.rotateCredential},
 		{Name: "rewrite configuration", Target: "config", Weight: 2, Inject: s.rewriteConfig},
 	}
+	if s.allFaults {
+		faults = append(faults, s.laterFaults()...)
+	}
+	return faults
+}
+
+func (s *soak) laterFaults() []chaos.Fault {
+	return []chaos.Fault{
+		{Name: "desk leaves in its responses", Target: "desk", Weight: 2, Inject: s.leaveInResponses},
+		{Name: "desk sheds", Target: "desk", Weight: 2, Inject: s.unplanned(func(ctx context.Context, r *rand.Rand, target int) { s.shed(ctx, r, s.desks[target]) })},
+		{Name: "model sheds", Target: "model", Weight: 2, Inject: s.unplanned(func(ctx context.Context, r *rand.Rand, target int) { s.shed(ctx, r, s.models[target]) })},
+		{Name: "store goes back", Target: "config", Weight: 2, Inject: s.unplanned(s.restoreStore)},
+	}
+}
+
+// leaveInResponses makes a desk state that it leaves in its responses only, and starts its
+// next incarnation after a while, unless all other desks are leaving.
+func (s *soak) leaveInResponses(ctx context.Context, random *rand.Rand, target int) {
+	s.whileOthersServe(target, func() {
+		desk := s.desks[target]
+		desk.update(func() { desk.leaving = true })
+		pause.For(ctx, chaos.RandomDuration(random, 500*time.Millisecond, 2*time.Second))
+		desk.update(func() { desk.leaving, desk.born = false, desk.born+1 })
+		s.register(desk, "ready")
+	})
+}
+
+// shed makes a replica reject all requests and ask to be left alone for a time.
+func (s *soak) shed(ctx context.Context, random *rand.Rand, r *replica) {
+	r.update(func() { r.shedFor = fmt.Sprintf("%.2f", 0.2+random.Float64()) })
+	pause.For(ctx, chaos.RandomDuration(random, 200*time.Millisecond, time.Second))
+	r.update(func() { r.shedFor = "" })
+}
+
+// restoreStore makes the store go back to a copy that is up to three seconds old. The
+// operator and the replicas write again what they had written since.
+func (s *soak) restoreStore(ctx context.Context, random *rand.Rand, _ int) {
+	s.memory.Backup()
+	pause.For(ctx, chaos.RandomDuration(random, 100*time.Millisecond, 2*time.Second))
+	s.configure()
+	pause.For(ctx, chaos.RandomDuration(random, 0, time.Second))
+	s.setStoreFaults(store.Faults{Down: true})
+	pause.For(ctx, chaos.RandomDuration(random, 100*time.Millisecond, time.Second))
+	s.memory.Restore()
+	s.setStoreFaults(store.Faults{})
+	pause.For(ctx, chaos.RandomDuration(random, 0, 500*time.Millisecond))
+	s.writeConfiguration()
+	for _, model := range s.models {
+		s.register(model, "ready")
+	}
+	for i, desk := range s.desks {
+		s.mu.Lock()
+		draining := s.draining[i]
+		s.mu.Unlock()
+		// A desk that is draining or leaving writes its own registration again.
+		if !draining {
+			s.register(desk, "ready")
+		}
+	}
 }
 
 // unplanned wraps a fault and records the period in which it is active, because
@@ -191,8 +250,19 @@
 }
 
 // drainDesk registers a desk as draining for a while, unless all other desks are
-// draining. The desk keeps serving.
+// draining, and then its next incarnation. The desk keeps serving.
 func (s *soak) drainDesk(ctx context.Context, random *rand.Rand, target int) {
+	s.whileOthersServe(target, func() {
+		s.register(s.desks[target], "draining")
+		pause.For(ctx, chaos.RandomDuration(random, 2*time.Second, 3*time.Second))
+		s.desks[target].update(func() { s.desks[target].born++ })
+		s.register(s.desks[target], "ready")
+	})
+}
+
+// whileOthersServe marks a desk as draining and calls drain, unless all other desks are
+// draining.
+func (s *soak) whileOthersServe(target int, drain func()) {
 	s.mu.Lock()
 	s.draining[target] = true
 	lastServing := true
@@ -201,9 +271,7 @@
 	}
 	s.mu.Unlock()
 	if !lastServing {
-		s.register(s.desks[target], "draining")
-		pause.For(ctx, chaos.RandomDuration(random, 2*time.Second, 3*time.Second))
-		s.register(s.desks[target], "ready")
+		drain()
 	}
 	s.mu.Lock()
 	s.draining[target] = false
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -56,6 +56,10 @@
 
 func TestSoak(t *testing.T) {
 	seeds := readRegressionSeeds(t)
+	regression := make(map[uint64]bool)
+	for _, seed := range seeds {
+		regression[seed] = true
+	}
 	for i := range *soakSeeds {
 		seeds = append(seeds, *soakFirst+uint64(i))
 	}
@@ -65,7 +69,10 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			newSoak(t, seed).run()
+			s := newSoak(t, seed)
+			// A regression seed stands for a sequence of the faults that there were then.
+			s.allFaults = !regression[seed]
+			s.run()
 		})
 	}
 }
@@ -98,11 +105,13 @@
 // draining marks the desks that are being drained.
 type soak struct {
 	*cluster
-	seed     uint64
-	proxies  *fault.Proxies
-	models   []*replica
-	desks    []*replica
-	draining []bool
+	seed uint64
+	// allFaults adds the faults of laterFaults.
+	allFaults bool
+	proxies   *fault.Proxies
+	models    []*replica
+	desks     []*replica
+	draining  []bool
 
 	mu sync.Mutex
 	// gateways are the current processes; a restart replaces an element.
