--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -100,6 +100,9 @@
 	name      usher.ServiceName
 	spec      ServiceSpec
 	endpoints map[usher.EndpointName]*endpoint
+	// pauses are those that endpoints have asked for. They outlast a registration that
+	// vanishes and comes back.
+	pauses    map[usher.EndpointName]pause
 	queue     waitQueue
 	grantRate rate
 	// arrivalRates are the arrival rates of requests by rank.
@@ -206,6 +209,10 @@
 	} else {
 		w.waitDeadline = s.waitDeadline(svc, w.request, now)
 	}
+	if svc.isHopeless(w, now) {
+		s.refuseHopeless(svc, w, now)
+		return
+	}
 	svc.prioritize(w, now)
 	if svc.queue.len() == 0 {
 		// Serve a late request rather than leave a slot idle that no other request
@@ -234,7 +241,7 @@
 	svc := s.services[name]
 	if svc == nil {
 		svc = &service{
-			name: name, endpoints: make(map[usher.EndpointName]*endpoint),
+			name: name, endpoints: make(map[usher.EndpointName]*endpoint), pauses: make(map[usher.EndpointName]pause),
 			routes: make(map[usher.RouteName]*routeStats), prefixes: newPrefixTable(),
 		}
 		s.services[name] = svc
@@ -338,7 +345,7 @@
 	if len(svc.endpoints) == 0 {
 		kind = usher.RefusalNoEndpoint
 	}
-	return usher.NewRefusal(kind, message).WithRetryAfter(s.retryAfter(svc, request, now))
+	return usher.NewRefusal(kind, message).WithRetryAfter(max(s.retryAfter(svc, request, now), svc.retryAfterPause(request, now)))
 }
 
 const (
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -122,7 +122,7 @@
 // requests are shorter than the interval between reports. Therefore an instance may
 // always use a few slots of such an endpoint.
 func (s *Scheduler) canSend(svc *service, e *endpoint, now time.Time) bool {
-	if now.Before(e.suspendedUntil) || !s.withinLimit(svc, e, now) {
+	if now.Before(e.suspendedUntil) || !svc.pausedUntil(e, now).IsZero() || !s.withinLimit(svc, e, now) {
 		return false
 	}
 	slots := e.slotCount(svc.spec)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -12,7 +12,9 @@
 	Ratio           float64            `json:"ratio"`
 	EventIntervalMs float64            `json:"paceMs"`
 	FailureRate     float64            `json:"failing"`
-	Suspended       bool               `json:"suspended"`
+	// PausedMs is how much longer the endpoint wants no requests, in milliseconds.
+	PausedMs  int64 `json:"pausedMs,omitempty"`
+	Suspended bool  `json:"suspended"`
 	// RateLimit is the limit that the endpoint names, in requests per second, or 0.
 	RateLimit float64 `json:"rateLimit"`
 }
@@ -48,7 +50,7 @@
 			state.Endpoints = append(state.Endpoints, endpointState{
 				Endpoint: e.Name, Own: e.own, Others: e.others, Slots: e.slotCount(svc.spec), Guaranteed: e.guaranteed,
 				Ratio: e.currentRatio(now), EventIntervalMs: float64(e.eventInterval.Microseconds()) / 1000, FailureRate: e.currentFailureRate(now),
-				Suspended: now.Before(e.suspendedUntil), RateLimit: limit,
+				Suspended: now.Before(e.suspendedUntil), PausedMs: svc.pauseOf(e, now), RateLimit: limit,
 			})
 		}
 		states = append(states, state)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -68,12 +68,12 @@
 // endpoints, and overQuota those refused for their workspace's quota. overBudget
 // counts the retries that the retry budget did not allow, repeated the retries, and
 // moved the moves away from an endpoint that sent nothing. rateLimited counts the
-// responses in which an endpoint names a rate limit, and leaving those in which it states
-// that it leaves. lost counts the attempts whose
+// responses in which an endpoint names a rate limit, leaving those in which it states
+// that it leaves, and paused those in which it wants no requests for a time. lost counts the attempts whose
 // connection broke and crashed those after which the endpoint accepted no connection,
 // both by responseProgress. resumed counts the streams that went on at another endpoint.
 type metrics struct {
-	started, suspected, overQuota, overBudget, repeated, moved, rateLimited, leaving *expvar.Int
+	started, suspected, overQuota, overBudget, repeated, moved, rateLimited, leaving, paused *expvar.Int
 
 	lost       *telemetry.Metrics
 	crashed    *telemetry.Metrics
@@ -90,7 +90,7 @@
 	return &metrics{
 		started: group.Counter("started"), suspected: group.Counter("suspected"), overQuota: group.Counter("overQuota"),
 		overBudget: group.Counter("overBudget"), repeated: group.Counter("repeated"), moved: group.Counter("moved"),
-		rateLimited: group.Counter("rateLimited"), leaving: group.Counter("leaving"),
+		rateLimited: group.Counter("rateLimited"), leaving: group.Counter("leaving"), paused: group.Counter("paused"),
 		lost: telemetry.NewMetrics("gatewayLost"), crashed: telemetry.NewMetrics("gatewayCrashed"),
 		resumed: telemetry.NewMetrics("gatewayResumed"),
 		refused: telemetry.NewMetrics("gatewayRefused"), statuses: telemetry.NewMetrics("gatewayStatus"),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -229,6 +229,14 @@
 		h.gateway.metrics.leaving.Add(1)
 		h.gateway.OnLeaving(&grant.Endpoint)
 	}
+	if metadata.Pause > 0 {
+		h.gateway.metrics.paused.Add(1)
+		if h.gateway.logLimiter.allow() {
+			h.gateway.Log.Info().Str("endpoint", string(grant.Endpoint.Name)).Str("service", string(grant.Endpoint.Service)).
+				Dur("for", metadata.Pause).Msg("endpointPaused")
+		}
+		grant.Pause(metadata.Pause)
+	}
 }
 
 func endForRejection(response *upstream.Response) dispatch.End {
