--- a/internal/journal/restored.go
+++ b/internal/journal/restored.go
@@ -59,10 +59,11 @@
 func (t *SlotTable) KeepHeld(ctx context.Context) error {
 	ticker := time.NewTicker(heldCheckInterval)
 	defer ticker.Stop()
+	restored := t.store.Restored()
 	for {
-		restored := t.store.Restored()
 		select {
 		case <-restored:
+			restored = t.store.Restored()
 			t.confirmHeld(ctx, t.heldSlots(0))
 		case <-ticker.C:
 			t.confirmHeld(ctx, t.heldSlots(recentlyWritten))
--- a/internal/journal/restored_test.go
+++ b/internal/journal/restored_test.go
@@ -160,6 +160,37 @@
 	})
 }
 
+func TestAllHeldSlotsAreWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &restoredFixture{t: t, memory: store.NewMemory()}
+		one := f.companion("one")
+		f.memory.Backup()
+		var slots []*Slot
+		for number := range SlotNumber(4) {
+			slot, err := one.Slot(t.Context(), "orders", number, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := f.run(slot, "key"); err != nil {
+				t.Fatal(err)
+			}
+			slots = append(slots, slot)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = one.KeepHeld(ctx) }()
+		f.memory.Restore()
+		// The check of one slot is the first call after the restoration.
+		time.Sleep(heldCheckInterval + time.Second)
+		synctest.Wait()
+		for _, slot := range slots {
+			if _, stored := f.memory.Get(headKey("orders", slot.id.number)); !stored {
+				t.Errorf("slot %d was not written again", slot.id.number)
+			}
+		}
+	})
+}
+
 func TestHolderGivesWayToClaimOfNewEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &restoredFixture{t: t, memory: store.NewMemory()}
