--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -209,8 +209,8 @@
 	} else {
 		w.waitDeadline = s.waitDeadline(svc, w.request, now)
 	}
-	if svc.isHopeless(w, now) {
-		s.refuseHopeless(svc, w, now)
+	if svc.isBlockedByPauses(w, now) {
+		s.refuseBlocked(svc, w, now)
 		return
 	}
 	svc.prioritize(w, now)
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -12,9 +12,9 @@
 	until time.Time
 }
 
-// Pause keeps requests from the grant's endpoint for a time, because the endpoint has
-// asked for it. A pause is not shortened by a later one. Requests that could wait for
-// paused endpoints only, and not for long enough, are refused.
+// Pause sends no requests to the grant's endpoint for a time that the endpoint has asked
+// for. A later, shorter pause has no effect. Queued requests that only paused endpoints
+// could serve are refused if they would not wait until the first pause ends.
 func (g *Grant) Pause(wait time.Duration) {
 	s := g.scheduler
 	s.mu.Lock()
@@ -30,22 +30,22 @@
 		return
 	}
 	svc.pauses[g.Endpoint.Name] = pause{born: g.Endpoint.Born, until: until}
-	var hopeless []*waiter
+	var blocked []*waiter
 	for w := range svc.queue.inOrder() {
-		if svc.isHopeless(w, now) {
-			hopeless = append(hopeless, w)
+		if svc.isBlockedByPauses(w, now) {
+			blocked = append(blocked, w)
 		}
 	}
-	for _, w := range hopeless {
+	for _, w := range blocked {
 		svc.queue.remove(w)
-		s.refuseHopeless(svc, w, now)
+		s.refuseBlocked(svc, w, now)
 	}
 }
 
-// refuseHopeless refuses a request that is not in the queue.
-func (s *Scheduler) refuseHopeless(svc *service, w *waiter, now time.Time) {
+// refuseBlocked refuses a request that is not in the queue.
+func (s *Scheduler) refuseBlocked(svc *service, w *waiter, now time.Time) {
 	svc.counts.refused++
-	w.decided <- decision{refusal: s.refuse(svc, w.request, now, "all endpoints have asked to be left alone")}
+	w.decided <- decision{refusal: s.refuse(svc, w.request, now, "all endpoints are paused")}
 }
 
 // pausedUntil returns the end of the endpoint's pause, or the zero time.
@@ -75,15 +75,15 @@
 	return first
 }
 
-// isHopeless reports whether all endpoints that a request may use are paused for longer
+// isBlockedByPauses reports whether all endpoints that a request may use are paused for longer
 // than it waits.
-func (svc *service) isHopeless(w *waiter, now time.Time) bool {
+func (svc *service) isBlockedByPauses(w *waiter, now time.Time) bool {
 	return svc.firstPauseEnd(w.request, now).After(w.waitDeadline)
 }
 
 // retryAfterPause returns how long a refused caller should wait while all endpoints are
-// paused, or 0. The load that it answers is many callers that are refused at the same
-// moment: their return is spread over half of the pause and not at its end.
+// paused, or 0. Random jitter keeps callers that were refused at the same moment from
+// retrying all at the end of the pause.
 func (svc *service) retryAfterPause(request *Request, now time.Time) time.Duration {
 	anyEndpoint := Request{Software: request.Software}
 	end := svc.firstPauseEnd(&anyEndpoint, now)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -19,7 +19,8 @@
 	h.origin, h.knowledge = streams.Of(h.headers.Resumes, servicesOf(h.route))
 	if h.knowledge == streamorigin.Unknown {
 		h.gateway.metrics.resumed.Add(resumedUnknown, 1)
-		// A caller whose stream can't go on should learn it soon, to begin anew.
+		// The sooner a caller learns that its stream can't go on, the more time is left to
+		// begin anew.
 		return usher.NewRefusal(usher.RefusalStreamOrigin, "it is not known which software version began the stream").WithRetryAfter(defaultRetryAfter)
 	}
 	if h.knowledge == streamorigin.Inferred && h.headers.Resumes != "" {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -206,7 +206,7 @@
 		h.gateway.metrics.rateLimited.Add(1)
 	}
 	if !response.Metadata.OtherEndpoint {
-		h.heedEndpoint(grant, &response.Metadata)
+		h.applyEndpointState(grant, &response.Metadata)
 	}
 	if response.Metadata.NotRun {
 		response.Close(false)
@@ -222,8 +222,8 @@
 	return h.bufferResponse(ctx, grant, response)
 }
 
-// heedEndpoint applies what an endpoint states of itself in the header of a response.
-func (h *requestHandler) heedEndpoint(grant *dispatch.Grant, metadata *usher.ResponseMetadata) {
+// applyEndpointState applies what the header of a response states about its endpoint.
+func (h *requestHandler) applyEndpointState(grant *dispatch.Grant, metadata *usher.ResponseMetadata) {
 	grant.ReportLimit(metadata.RateLimit)
 	if metadata.Leaving {
 		h.gateway.metrics.leaving.Add(1)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -2,8 +2,8 @@
 // service, as registered in the store. It excludes endpoints that are leaving from
 // new requests. Endpoints whose registrations may only have lapsed while the store
 // was unavailable stay in the list for a grace period. After the store went back to
-// an earlier state, what an endpoint said of itself before still holds: one that was
-// leaving or gone does not return because an old copy of its registration does.
+// an earlier state, endpoints that were leaving or removed before stay so, although old
+// registrations of theirs reappear.
 package roster
 
 import (
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -79,7 +79,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.learn(keyOf(id), origin, true)
-	// A caller that takes up this stream before it began is not to be believed.
+	// A caller may have claimed the ID for another stream before.
 	t.origins[keyOf(id)] = origin
 	t.unfinished[keyOf(id)] = t.now()
 }
