--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -102,6 +102,9 @@
 		return asRefusal(err)
 	}
 	h.headers = headers
+	if h.gateway.isTooLate(h.arrived) {
+		return usher.NewRefusal(usher.RefusalLeaving, "the instance is stopping").WithRetryAfter(stoppingRetryAfter)
+	}
 	if refusal := h.readBody(index); refusal != nil {
 		return refusal
 	}
@@ -125,6 +128,9 @@
 	// defaultRetryAfter is the Retry-After value for short conditions: an instance
 	// that has just started, a stale configuration, failed attempts.
 	defaultRetryAfter = 500 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After value while this instance stops: a retry
+	// reaches another one.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultTimeout applies where neither the caller nor the route sets one.
 	defaultTimeout = 60 * time.Second
 	// bodyReadTimeout bounds how long a caller may take to send the body.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,9 @@
 	defaultMaxBodyBytes = 8 << 20
 	// defaultBodyMemory bounds the buffered response bodies where no limit is given.
 	defaultBodyMemory = 64 << 20
+	// lateRequestGrace is how long after the start of Shutdown requests are accepted on
+	// connections that were accepted before.
+	lateRequestGrace = time.Second
 	// maxHeaderBytes bounds the request header.
 	maxHeaderBytes = 64 << 10
 	// idleSweepInterval is the interval between scans for idle connections.
@@ -93,6 +96,8 @@
 	bodyMemory *semaphore.Weighted
 	metrics    *metrics
 	logLimiter *logLimiter
+	// shutdownAt is when Shutdown was called.
+	shutdownAt atomic.Pointer[time.Time]
 }
 
 // New returns a gateway; Serve starts it.
@@ -141,7 +146,18 @@
 
 // Shutdown stops accepting connections and waits until the requests in flight have
 // ended or ctx is done.
-func (g *Gateway) Shutdown(ctx context.Context) error { return g.server.Shutdown(ctx) }
+func (g *Gateway) Shutdown(ctx context.Context) error {
+	now := time.Now()
+	g.shutdownAt.Store(&now)
+	return g.server.Shutdown(ctx)
+}
+
+// isTooLate reports whether a request comes so long after Shutdown that it may be cut. A
+// caller whose connection was busy until then does not know that the instance stops.
+func (g *Gateway) isTooLate(arrived time.Time) bool {
+	began := g.shutdownAt.Load()
+	return began != nil && arrived.Sub(*began) > lateRequestGrace
+}
 
 // closeExpiredIdle closes caller connections that have been idle for longer than
 // the configuration allows. http.Server.IdleTimeout is not used because it can't
--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -102,3 +102,46 @@
 	}
 	t.Logf("%d answered, %d cut, %d crossed the close of their connection", answered.Load(), cut.Load(), crossed.Load())
 }
+
+// A caller sends its next request on a connection that was busy with a stream until long
+// after the signal to stop. There is no time left to run it.
+func TestLateRequestOnBusyConnectionIsRefusedDuringShutdown(t *testing.T) {
+	c := newCluster(t)
+	model := newReplica(t, "m1", "model", 4, 12)
+	c.register(model, "ready")
+	g := c.startGateway("g1")
+	c.awaitServed(g, "/plan/a")
+	model.update(func() { model.eventInterval = 400 * time.Millisecond })
+	conn, err := net.Dial("tcp", g.callerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	send := func(id string) {
+		t.Helper()
+		_, err := fmt.Fprintf(conn, "POST /plan/a HTTP/1.1\r\nHost: site.example\r\nX-Filbertusher-Attempt-Id: %s\r\n"+
+			"X-Filbertusher-Deadline-Ms: 15000\r\nX-Filbertusher-Credential: key\r\nContent-Length: 0\r\n\r\n", id)
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	send("long")
+	c.eventually("the stream runs", func() bool { return model.executionsOf("long") == 1 })
+	g.Signal(syscall.SIGTERM)
+	c.awaitLogged(g, "stopping")
+	time.Sleep(4200 * time.Millisecond)
+	send("late")
+	reader := bufio.NewReader(conn)
+	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("no response with status %d: %v", want, err)
+		}
+		if _, err := io.ReadAll(response.Body); err != nil || response.StatusCode != want {
+			t.Fatalf("status %d, error %v, want %d", response.StatusCode, err, want)
+		}
+	}
+	if model.executionsOf("late") != 0 {
+		t.Error("the request that was refused has run")
+	}
+}
