Show that answers without a length are cut and count as complete

Cause: an answer without a length counts as complete if the replica's address accepts a connection when it ends, also if another process listens there by then.

--- a/review/_trial/reborn.go
+++ b/review/_trial/reborn.go
@@ -20,13 +20,18 @@
 	// rebornEvents is the number of events of a whole answer.
 	rebornEvents  = 58
 	rebornClients = 8
-	// cutFor is how long the replica is partitioned. Clients leave a stream of this route
-	// after a gap of 4 s, four times the objective.
-	cutFor = 3 * time.Second
+	// cutFor is how long the replica is partitioned. It is shorter than the two seconds
+	// after which a second keep-alive probe of the gateway goes without a reply.
+	cutFor = 1900 * time.Millisecond
 	// crashAfter and downFor are when the replica crashes behind the cut, and for how long
 	// it is down.
-	crashAfter = 300 * time.Millisecond
+	crashAfter = 200 * time.Millisecond
 	downFor    = 2 * time.Second
+	// repeatedAfter is when what was sent at the beginning of the cut arrives. A kernel
+	// repeats it, also the end of a connection whose process is gone, after 0.2, 0.6, 1.4
+	// and 3.0 s. Clients leave a stream of this route after a gap of 4 s, four times the
+	// objective.
+	repeatedAfter = 3100 * time.Millisecond
 )
 
 // serveReplica is the process of a replica whose answers have no length: they end with
@@ -64,13 +69,16 @@
 	}))
 }
 
-// link is the network between the machines and a replica. While it is cut, what either
-// side sends, also the end of a connection, is held up, as by a partition.
+// link is the network between the machines and a replica. While it is cut, no connection
+// is opened, and what either side sends, also the end of a connection, is held up until it
+// is repeated.
 type link struct {
 	listener net.Listener
 	target   string
 	mu       sync.Mutex
-	healed   chan struct{}
+	// healed is closed when connections can be opened, and repeated when what was held
+	// up arrives.
+	healed, repeated chan struct{}
 }
 
 func newLink(ip, target string) (*link, error) {
@@ -78,8 +86,9 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{listener: listener, target: target, healed: make(chan struct{})}
+	l := &link{listener: listener, target: target, healed: make(chan struct{}), repeated: make(chan struct{})}
 	close(l.healed)
+	close(l.repeated)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -95,7 +104,7 @@
 func (l *link) cut() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.healed = make(chan struct{})
+	l.healed, l.repeated = make(chan struct{}), make(chan struct{})
 }
 
 func (l *link) heal() {
@@ -104,15 +113,21 @@
 	close(l.healed)
 }
 
-func (l *link) pass() {
+func (l *link) repeat() {
 	l.mu.Lock()
-	healed := l.healed
-	l.mu.Unlock()
-	<-healed
+	defer l.mu.Unlock()
+	close(l.repeated)
+}
+
+func (l *link) gates() (healed, repeated chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.healed, l.repeated
 }
 
 func (l *link) carry(near *net.TCPConn) {
-	l.pass()
+	healed, _ := l.gates()
+	<-healed
 	conn, err := net.Dial("tcp", l.target)
 	if err != nil {
 		// No process listens: a real machine resets the connection.
@@ -122,11 +137,15 @@
 	}
 	far := conn.(*net.TCPConn)
 	var wait sync.WaitGroup
+	// Only connections of before the cut have to wait for what is repeated.
+	_, opened := l.gates()
 	one := func(from, to *net.TCPConn) {
 		buffer := make([]byte, 32<<10)
 		for {
 			n, err := from.Read(buffer)
-			l.pass()
+			if _, repeated := l.gates(); repeated != opened {
+				<-repeated
+			}
 			if n > 0 {
 				if _, err := to.Write(buffer[:n]); err != nil {
 					_ = from.SetLinger(0)
@@ -269,16 +288,19 @@
 		_ = process.Process.Signal(syscall.SIGKILL)
 		_ = process.Wait()
 		d.record.say("the replica crashes behind the cut")
-		time.Sleep(downFor)
+		time.Sleep(cutFor - crashAfter)
+		network.heal()
+		d.record.say("the cut heals")
+		time.Sleep(crashAfter + downFor - cutFor)
 		if process, err = d.startProcess(addresses[0], id, &ran); err != nil {
 			return false, err
 		}
 		born.Store(time.Now().UnixMilli())
-		d.record.say("the replica has started again")
-		time.Sleep(cutFor - crashAfter - downFor)
-		network.heal()
 		silent.Store(0)
-		d.record.say("the cut heals")
+		d.record.say("the replica has started again")
+		time.Sleep(repeatedAfter - crashAfter - downFor)
+		network.repeat()
+		d.record.say("what was held up by the cut is repeated and arrives")
 	}
 	wait.Wait()
 	d.record.say("%d streams ended as complete with all events, %d ended as complete before their last event, %d were cut off", whole.Load(), short.Load(), cutOff.Load())
