--- a/review/_trial/bodies.go
+++ b/review/_trial/bodies.go
@@ -17,7 +17,7 @@
 	// bodyBytes is a little less than max_body_bytes.
 	bodyBytes = 4_000_000
 	// uploads is how many clients send such a body at once.
-	uploads = 64
+	uploads = 48
 	// streamClients have a stream on a kept connection meanwhile.
 	streamClients = 20
 	// lostAllowed is how many such requests may be closed without an answer.
