--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -11,6 +11,7 @@
 	"stop":        playStop,
 	"pause":       playPause,
 	"reborn":      playReborn,
+	"silence":     playSilence,
 	"bodies":      playBodies,
 	"descriptors": playDescriptors,
 }
