--- a/review/_trial/bodies.go
+++ b/review/_trial/bodies.go
@@ -56,8 +56,8 @@
 
 // playBodies lets clients send bodies of nearly max_body_bytes at once, while others receive
 // streams.
-func playBodies(dir string, trouble bool) (bool, error) {
-	d, err := newDeployment(dir, bodiesMB)
+func playBodies(recordPath string, trouble bool) (bool, error) {
+	d, err := newDeployment(recordPath, bodiesMB)
 	if err != nil {
 		return false, err
 	}
@@ -104,7 +104,7 @@
 	var wait sync.WaitGroup
 	for n := range streamClients {
 		wait.Go(func() {
-			c, err := dialClient(g.frontend)
+			c, err := d.dialClient(g.frontend)
 			if err != nil {
 				return
 			}
@@ -139,7 +139,7 @@
 		body := bytes.Repeat([]byte("x"), bodyBytes)
 		for n := range uploads {
 			wait.Go(func() {
-				c, err := dialClient(g.frontend)
+				c, err := d.dialClient(g.frontend)
 				if err != nil {
 					return
 				}
@@ -167,6 +167,7 @@
 // upload sends a request at the pace that the machine's link of 1,000 Mbit/s leaves to each
 // of the clients.
 func (c *client) upload(path, id string, body []byte) error {
+	c.note("POST", path, id, len(body))
 	const linkBytesPerSecond = 1000e6 / 8
 	if _, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Filbertusher-Attempt-Id: %s\r\nX-Filbertusher-Deadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n", path, siteHost, id, len(body)); err != nil {
 		return err
--- a/review/_trial/deployment.go
+++ b/review/_trial/deployment.go
@@ -42,7 +42,7 @@
 	gateways []*gateway
 }
 
-// record writes what happened to record.txt.
+// record writes what was sent, answered and run, and the disruptions, to record.txt.
 type record struct {
 	mu    sync.Mutex
 	file  *os.File
@@ -92,8 +92,8 @@
 
 func (h *hideEra) Unwrap() http.ResponseWriter { return h.ResponseWriter }
 
-func newDeployment(dir string, memoryMB int) (*deployment, error) {
-	r, err := newRecord(filepath.Join(dir, "record.txt"))
+func newDeployment(recordPath string, memoryMB int) (*deployment, error) {
+	r, err := newRecord(recordPath)
 	if err != nil {
 		return nil, err
 	}
--- a/review/_trial/descriptors.go
+++ b/review/_trial/descriptors.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,8 +26,8 @@
 
 // playDescriptors lets many users come at once while a machine is replaced, and changes the
 // configuration once they have gone.
-func playDescriptors(dir string, trouble bool) (bool, error) {
-	d, err := newDeployment(dir, 284)
+func playDescriptors(recordPath string, trouble bool) (bool, error) {
+	d, err := newDeployment(recordPath, 284)
 	if err != nil {
 		return false, err
 	}
@@ -72,7 +73,7 @@
 	stop := make(chan struct{})
 	var kept []*client
 	for range keptClients {
-		c, err := dialClient(first.frontend)
+		c, err := d.dialClient(first.frontend)
 		if err != nil {
 			return false, err
 		}
@@ -93,7 +94,7 @@
 	}
 	// user sends one request on a new connection and leaves that open for a while.
 	user := func() {
-		c, err := dialClient(first.frontend)
+		c, err := d.dialClient(first.frontend)
 		if err != nil {
 			unanswered.Add(1)
 			return
@@ -160,7 +161,7 @@
 		}
 	}
 	d.record.say("%d requests were sent to %s on kept connections %v after the acknowledgement; the old service ran %d of them", ran, first.name, configApply+4*time.Second, late)
-	first.trace(dir)
+	first.trace(filepath.Dir(recordPath))
 	first.signal(syscall.SIGTERM)
 	for end := time.Now().Add(graceS * time.Second); first.running() && time.Now().Before(end); {
 		time.Sleep(100 * time.Millisecond)
--- a/review/_trial/main.go
+++ b/review/_trial/main.go
@@ -7,7 +7,7 @@
 
 // trials are the cases by name. Each plays its case, with the disruption if trouble is
 // set, and reports whether the rule was broken.
-var trials = map[string]func(dir string, trouble bool) (broken bool, err error){
+var trials = map[string]func(recordPath string, trouble bool) (broken bool, err error){
 	"stop":        playStop,
 	"pause":       playPause,
 	"reborn":      playReborn,
@@ -24,7 +24,7 @@
 		os.Exit(2)
 	}
 	if len(os.Args) != 3 || trials[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: trial NAME FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: trial NAME RECORD.TXT")
 		os.Exit(2)
 	}
 	broken, err := trials[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0")
--- a/review/_trial/pause.go
+++ b/review/_trial/pause.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand"
 	"net/http"
+	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,8 +65,8 @@
 // playPause lets the replicas of a service shed load for a second while some of the clients
 // that wait for it leave. Requests for another service, whose replica is idle, show whether
 // the gateway still answers.
-func playPause(dir string, trouble bool) (bool, error) {
-	d, err := newDeployment(dir, 284)
+func playPause(recordPath string, trouble bool) (bool, error) {
+	d, err := newDeployment(recordPath, 284)
 	if err != nil {
 		return false, err
 	}
@@ -106,7 +107,7 @@
 	var ids atomic.Int64
 	// ask sends one request on a new connection, and calls sent with the connection.
 	ask := func(path string, deadline time.Duration, sent func(*client)) answer {
-		c, err := dialClient(g.frontend)
+		c, err := d.dialClient(g.frontend)
 		if err != nil {
 			return answer{err: err}
 		}
@@ -194,10 +195,8 @@
 			hung = true
 			break
 		}
-		if trouble {
-			// Until the replicas want requests again.
-			time.Sleep(1050 * time.Millisecond)
-		}
+		// Until the replicas want requests again.
+		time.Sleep(1050 * time.Millisecond)
 		wait.Wait()
 	}
 	mu.Lock()
@@ -227,6 +226,6 @@
 	group.Wait()
 	d.record.say("of %d more requests for a service with an idle replica, %d were answered within timeout_ms; of the other %d, %d had no answer half a second later", probes, answered.Load(), unanswered.Load(), late.Load())
 	d.record.say("the gateway runs: %v, and says that it is ready: %v", g.running(), g.ready())
-	g.trace(dir)
+	g.trace(filepath.Dir(recordPath))
 	return unanswered.Load() > 0 && 2*late.Load() > unanswered.Load(), nil
 }
--- a/review/_trial/reborn.go
+++ b/review/_trial/reborn.go
@@ -204,8 +204,8 @@
 
 // playReborn cuts a replica off while it streams answers without a length. It crashes behind
 // the cut and starts again.
-func playReborn(dir string, trouble bool) (bool, error) {
-	d, err := newDeployment(dir, 284)
+func playReborn(recordPath string, trouble bool) (bool, error) {
+	d, err := newDeployment(recordPath, 284)
 	if err != nil {
 		return false, err
 	}
@@ -255,7 +255,7 @@
 	var wait sync.WaitGroup
 	for n := range rebornClients {
 		wait.Go(func() {
-			c, err := dialClient(g.frontend)
+			c, err := d.dialClient(g.frontend)
 			if err != nil {
 				return
 			}
--- a/review/_trial/replica.go
+++ b/review/_trial/replica.go
@@ -74,6 +74,7 @@
 				w.Header().Set("Retry-After", seconds)
 			}
 			w.WriteHeader(http.StatusServiceUnavailable)
+			r.deployment.record.add("replica %s rejects %s", r.id, id)
 			return
 		}
 	}
@@ -134,22 +135,25 @@
 	}
 }
 
-// client is a connection of a client.
+// client is a connection of a client. id is that of the last request.
 type client struct {
 	net.Conn
 	reader *bufio.Reader
+	record *record
+	id     string
 }
 
-func dialClient(address string) (*client, error) {
+func (d *deployment) dialClient(address string) (*client, error) {
 	conn, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
 		return nil, err
 	}
-	return &client{Conn: conn, reader: bufio.NewReader(conn)}, nil
+	return &client{Conn: conn, reader: bufio.NewReader(conn), record: d.record}, nil
 }
 
 // send writes a request. header holds further lines that end with CRLF.
 func (c *client) send(method, path, id string, deadline time.Duration, header string, body []byte) error {
+	c.note(method, path, id, len(body))
 	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Filbertusher-Attempt-Id: %s\r\nX-Filbertusher-Deadline-Ms: %d\r\nContent-Length: %d\r\n%s\r\n",
 		method, path, siteHost, id, deadline.Milliseconds(), len(body), header)
 	_ = c.SetDeadline(time.Now().Add(deadline + 2*time.Second))
@@ -173,6 +177,18 @@
 }
 
 func (c *client) receive(method string) answer {
+	got := c.readAnswer(method)
+	c.record.add("client got for %s: %v", c.id, got)
+	return got
+}
+
+// note records that a request is sent.
+func (c *client) note(method, path, id string, bytes int) {
+	c.id = id
+	c.record.add("client sends %s: %s %s, %d bytes of body", id, method, path, bytes)
+}
+
+func (c *client) readAnswer(method string) answer {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if err != nil {
 		return answer{err: err}
--- a/review/_trial/silence.go
+++ b/review/_trial/silence.go
@@ -23,8 +23,8 @@
 )
 
 // playSilence stops a gateway while an engine preempts some streams for a while.
-func playSilence(dir string, trouble bool) (bool, error) {
-	d, err := newDeployment(dir, 284)
+func playSilence(recordPath string, trouble bool) (bool, error) {
+	d, err := newDeployment(recordPath, 284)
 	if err != nil {
 		return false, err
 	}
@@ -60,12 +60,7 @@
 		}
 		// Others call the replicas too, so that they are full for a while. What they run
 		// goes on.
-		r.shed = func(*http.Request) (bool, string) {
-			if full.Load() {
-				d.record.add("replica %s is full and rejects a request", r.id)
-			}
-			return full.Load(), ""
-		}
+		r.shed = func(*http.Request) (bool, string) { return full.Load(), "" }
 		replicas = append(replicas, r)
 	}
 	if err := d.newGateways(1); err != nil {
@@ -81,7 +76,7 @@
 	var wait sync.WaitGroup
 	for n := range silenceClients {
 		wait.Go(func() {
-			c, err := dialClient(g.frontend)
+			c, err := d.dialClient(g.frontend)
 			if err != nil {
 				return
 			}
--- a/review/_trial/stop.go
+++ b/review/_trial/stop.go
@@ -21,8 +21,8 @@
 
 // playStop stops a gateway while its clients receive streams on kept connections. A client
 // whose stream ends sends its next request at once.
-func playStop(dir string, trouble bool) (bool, error) {
-	d, err := newDeployment(dir, 284)
+func playStop(recordPath string, trouble bool) (bool, error) {
+	d, err := newDeployment(recordPath, 284)
 	if err != nil {
 		return false, err
 	}
@@ -62,7 +62,7 @@
 	var wait sync.WaitGroup
 	for n := range stopClients {
 		wait.Go(func() {
-			c, err := dialClient(g.frontend)
+			c, err := d.dialClient(g.frontend)
 			if err != nil {
 				d.record.add("client %d: no connection: %v", n, err)
 				return
