Show in the log what a stop took, refused and cut

Lines about requests have stopArrivedMs, stopSentMs and cutByStop while the instance stops; those of requests that were cut are warnings and always written. A stop ends with the event drained, which counts what was taken, refused and cut, and the idle connections that were closed.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -381,7 +381,7 @@
 	serveFor := min(readinessDelay, grace/2)
 	// Connections that wait to be accepted get their first requests until AcceptTime after
 	// Shutdown was called.
-	p.gateway.StartDraining(startedAt.Add(serveFor + drain.AcceptTime - signalDelay))
+	p.gateway.StartDraining(drain.Stop{Began: startedAt, TakesUntil: startedAt.Add(serveFor + drain.AcceptTime - signalDelay)})
 	time.Sleep(serveFor)
 	drainCtx, cancel := context.WithDeadline(context.Background(), startedAt.Add(grace-shutdownMargin))
 	defer cancel()
@@ -390,6 +390,7 @@
 		cancelRequests(&gateway.StoppingError{})
 		p.awaitCancelled()
 	}
+	p.gateway.LogStop()
 	finalCtx, cancelFinal := context.WithTimeout(context.Background(), finalStoreTimeout)
 	defer cancelFinal()
 	p.recorder.Close(finalCtx)
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -42,6 +42,14 @@
 	KeepAlive int
 }
 
+// Stop is the schedule of a graceful stop.
+type Stop struct {
+	// Began is when the process was told to stop.
+	Began time.Time
+	// TakesUntil is the end of the time in which requests are taken.
+	TakesUntil time.Time
+}
+
 // Server serves HTTP until Shutdown. served is closed when no more connections are
 // accepted.
 type Server struct {
@@ -50,9 +58,10 @@
 	limits   Limits
 	served   chan struct{}
 	listener atomic.Pointer[listener]
-	// takesUntil is the end of the time in which requests are taken. It is nil until the
-	// server drains.
-	takesUntil atomic.Pointer[time.Time]
+	// stop is nil until the server drains.
+	stop atomic.Pointer[Stop]
+	// closedIdle counts the idle connections that were closed while the server drained.
+	closedIdle atomic.Int64
 	// stopping is set by Shutdown, which may come before Serve.
 	stopping atomic.Bool
 
@@ -104,20 +113,31 @@
 func (s *Server) isCrowded() bool { return s.listener.Load().open.Load() > int64(s.limits.KeepAlive) }
 
 // StartDraining makes each response announce the end of its connection. Connections are
-// still accepted, and TakesRequests returns true until the given time. Only the first call
+// still accepted, and TakesRequests returns true until stop.TakesUntil. Only the first call
 // has an effect.
-func (s *Server) StartDraining(takesUntil time.Time) { s.takesUntil.CompareAndSwap(nil, &takesUntil) }
+func (s *Server) StartDraining(stop Stop) { s.stop.CompareAndSwap(nil, &stop) }
+
+// Stop returns the schedule of the stop, or nil if the server does not drain.
+func (s *Server) Stop() *Stop { return s.stop.Load() }
 
 // Draining reports whether StartDraining or Shutdown was called.
-func (s *Server) Draining() bool { return s.takesUntil.Load() != nil }
+func (s *Server) Draining() bool { return s.stop.Load() != nil }
+
+// Connections returns how many connections are open, and how many were closed while they
+// were idle and the server drained.
+func (s *Server) Connections() (open int, closedIdle int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns), s.closedIdle.Load()
+}
 
 // TakesRequests reports whether the handler may run a request that it has just read. A
 // connection may be busy until long after the start of Shutdown, and its caller then sends
 // another request, for which too little time may be left. The handler has to ask again
 // after it has read the body.
 func (s *Server) TakesRequests() bool {
-	until := s.takesUntil.Load()
-	return until == nil || time.Now().Before(*until)
+	stop := s.stop.Load()
+	return stop == nil || time.Now().Before(stop.TakesUntil)
 }
 
 // Shutdown stops accepting connections and closes each one that has no request, until
@@ -125,7 +145,8 @@
 // It returns the error of ctx if that is done before, and otherwise the errors of closing
 // the listener, which may have reset connections that waited.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.StartDraining(time.Now().Add(AcceptTime))
+	began := time.Now()
+	s.StartDraining(Stop{Began: began, TakesUntil: began.Add(AcceptTime)})
 	// In this order: either this call or Serve sees the other one.
 	s.stopping.Store(true)
 	if l := s.listener.Load(); l != nil {
@@ -206,6 +227,9 @@
 		fresh := is.state == http.StateNew && is.since.Before(newSince)
 		if (idle || fresh) && c.closeIfUnused() {
 			delete(s.conns, c)
+			if idle && s.Draining() {
+				s.closedIdle.Add(1)
+			}
 		}
 	}
 	return len(s.conns)
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -290,11 +290,11 @@
 	if fx.Draining() || !fx.TakesRequests() {
 		t.Error("a running server takes no requests")
 	}
-	fx.StartDraining(time.Now().Add(time.Hour))
+	fx.StartDraining(drain.Stop{TakesUntil: time.Now().Add(time.Hour)})
 	if !fx.Draining() || !fx.TakesRequests() {
 		t.Error("a draining server takes no requests")
 	}
-	fx.StartDraining(time.Now())
+	fx.StartDraining(drain.Stop{TakesUntil: time.Now()})
 	if !fx.TakesRequests() {
 		t.Error("a later call has replaced the time")
 	}
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -91,6 +91,9 @@
 		h.refuse(refusal)
 		return
 	}
+	if g.server.Draining() {
+		g.metrics.takenWhileStopping.Add(1)
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), h.deadline)
 	defer cancel()
 	h.run(ctx)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -157,9 +157,9 @@
 func (*StoppingError) Error() string { return "the instance is stopping" }
 
 // StartDraining starts draining: Ready returns false and each response closes its
-// connection. Requests that have arrived whole by takesUntil are run, and later ones
+// connection. Requests that have arrived whole by stop.TakesUntil are run, and later ones
 // refused.
-func (g *Gateway) StartDraining(takesUntil time.Time) { g.server.StartDraining(takesUntil) }
+func (g *Gateway) StartDraining(stop drain.Stop) { g.server.StartDraining(stop) }
 
 // Shutdown stops accepting connections and waits until the requests in flight have
 // ended or ctx is done.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -69,6 +69,9 @@
 		h.detail = string(refusal.Kind) + ": " + refusal.Message + "; " + h.detail
 	}
 	h.gateway.metrics.refused.Add(string(refusal.Kind), 1)
+	if refusal.Kind == usher.RefusalLeaving {
+		h.gateway.metrics.refusedByStop.Add(1)
+	}
 	if refusal.Kind == usher.RefusalCancelled {
 		// The caller has disconnected, so there is nobody to respond to.
 		panic(http.ErrAbortHandler)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"expvar"
 	"math"
 	"sync"
@@ -11,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"filbertusher/internal/telemetry"
+	"filbertusher/pkg/usher"
 )
 
 // maxLogLinesPerSecond bounds the log lines about requests. Lines beyond it are
@@ -23,11 +26,14 @@
 	total := time.Since(h.arrived)
 	g.metrics.observe(h, total)
 	h.record(total)
-	if !g.logLimiter.allow() {
+	stop, cut := g.server.Stop(), h.isCutByStop()
+	if cut {
+		g.metrics.cutByStop.Add(1)
+	} else if !g.logLimiter.allow() {
 		return
 	}
 	event := g.Log.Info()
-	if h.status >= 500 || h.status == 0 {
+	if h.status >= 500 || h.status == 0 || cut {
 		event = g.Log.Warn()
 	}
 	event = event.Str("request", string(h.headers.ID)).Int("status", h.status).Str("outcome", string(h.outcome))
@@ -42,7 +48,32 @@
 		Str("endpoint", string(h.endpoint)).Str("software", string(h.software)).Str("resumes", string(h.headers.Resumes)).Str("began", string(h.origin.Software)).Int("attempts", h.attempts).Int("inside", h.endpointRunning).
 		Int64("waitedMs", h.waited.Milliseconds()).Int64("expectedMs", h.expectedLatency.Milliseconds()).
 		Int64("firstMs", h.firstLatency.Milliseconds()).Int64("totalMs", total.Milliseconds()).
-		Str("detail", h.detail).Msg("request")
+		Str("detail", h.detail)
+	if stop != nil {
+		event.Int64("stopArrivedMs", h.arrived.Sub(stop.Began).Milliseconds()).Bool("cutByStop", cut)
+		if !h.attemptSent.IsZero() {
+			event.Int64("stopSentMs", h.attemptSent.Sub(stop.Began).Milliseconds())
+		}
+	}
+	event.Msg("request")
+}
+
+// isCutByStop reports whether the request was running when the time for a stop was over.
+func (h *requestHandler) isCutByStop() bool {
+	stopping := new(StoppingError)
+	return h.outcome != usher.OutcomeNotRun && errors.As(context.Cause(h.request.Context()), &stopping)
+}
+
+// LogStop logs what became of the callers' requests and connections during a stop.
+func (g *Gateway) LogStop() {
+	stop := g.server.Stop()
+	if stop == nil {
+		return
+	}
+	open, closedIdle := g.server.Connections()
+	g.Log.Info().Int64("taken", g.metrics.takenWhileStopping.Value()).Int64("refused", g.metrics.refusedByStop.Value()).
+		Int64("cut", g.metrics.cutByStop.Value()).Int64("closedIdle", closedIdle).Int("open", open).
+		Int64("tookMs", time.Since(stop.Began).Milliseconds()).Msg("drained")
 }
 
 // logLimiter limits the rate of log lines and counts those it drops.
@@ -72,9 +103,14 @@
 // that it leaves, and paused those in which it wants no requests for a time. lost counts the attempts whose
 // connection broke and crashed those after which the endpoint accepted no connection,
 // both by responseProgress. resumed counts the streams that went on at another endpoint.
+//
+// During a stop, takenWhileStopping counts the requests that arrived and were accepted,
+// refusedByStop those refused because of it, and cutByStop those that still ran at its end.
 type metrics struct {
 	started, suspected, overQuota, overBudget, repeated, moved, rateLimited, leaving, paused *expvar.Int
 
+	takenWhileStopping, refusedByStop, cutByStop *expvar.Int
+
 	lost       *telemetry.Metrics
 	crashed    *telemetry.Metrics
 	resumed    *telemetry.Metrics
@@ -91,6 +127,7 @@
 		started: group.Counter("started"), suspected: group.Counter("suspected"), overQuota: group.Counter("overQuota"),
 		overBudget: group.Counter("overBudget"), repeated: group.Counter("repeated"), moved: group.Counter("moved"),
 		rateLimited: group.Counter("rateLimited"), leaving: group.Counter("leaving"), paused: group.Counter("paused"),
+		takenWhileStopping: group.Counter("takenWhileStopping"), refusedByStop: group.Counter("refusedByStop"), cutByStop: group.Counter("cutByStop"),
 		lost: telemetry.NewMetrics("gatewayLost"), crashed: telemetry.NewMetrics("gatewayCrashed"),
 		resumed: telemetry.NewMetrics("gatewayResumed"),
 		refused: telemetry.NewMetrics("gatewayRefused"), statuses: telemetry.NewMetrics("gatewayStatus"),
