--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -165,6 +165,13 @@
 	return err
 }
 
+// postUntil sends a request without a body whose caller waits for so many milliseconds.
+func (c *rawCaller) postUntil(path, id string, waitMS int) error {
+	_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: site.example\r\nX-Filbertusher-Attempt-Id: %s\r\n"+
+		"X-Filbertusher-Deadline-Ms: %d\r\nX-Filbertusher-Credential: key\r\nContent-Length: 0\r\n\r\n", path, id, waitMS)
+	return err
+}
+
 // receive reads the response to the first request that has none. err says that it is
 // incomplete.
 func (c *rawCaller) receive() (response *http.Response, err error) {
