Deliver the failure of a request for which no retry is possible

Callers of a request that may be repeated got 503, which promises that it has not run, after a replica had run it and answered 500: a retry was allowed, and no endpoint was left for it or none had room.

Cause: an attempt that ended with a failure was not remembered, other than one whose response was lost, so that the refusal of the retry looked like the first one.

The attempts of a request now have a history, and a failure that was received is delivered in place of the refusal, whatever came of the retries.

--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -11,22 +11,26 @@
 	"filbertusher/pkg/usher"
 )
 
-// abandon ends a request that may not be sent to another endpoint. If an earlier
-// attempt may have run it, the outcome is reported as unknown.
-func (h *requestHandler) abandon(ctx context.Context, relay *streamRelay, refusal *usher.Refusal, mayHaveRun bool) {
-	if mayHaveRun {
+// abandon ends a request that may not be sent to another endpoint. If an earlier attempt has
+// returned a failure, that is delivered; if one may have run the request, the outcome is
+// reported as unknown.
+func (h *requestHandler) abandon(ctx context.Context, relay *streamRelay, refusal *usher.Refusal, earlier attemptHistory) {
+	switch {
+	case earlier.failure != nil && !relay.started:
+		h.deliver(earlier.failure)
+		return
+	case earlier.mayHaveRun:
 		refusal = unknownRefusal(ctx, refusal.Message)
 	}
 	h.terminate(relay, refusal)
 }
 
 // finishFailed ends a request after its last attempt failed.
-func (h *requestHandler) finishFailed(ctx context.Context, relay *streamRelay, last attemptResult, mayHaveRun bool) {
+func (h *requestHandler) finishFailed(ctx context.Context, relay *streamRelay, last attemptResult, earlier attemptHistory) {
 	switch {
-	case last.outcome == failed && !relay.started:
-		h.deliver(last.response)
-		return
-	case mayHaveRun || last.outcome == failed:
+	case earlier.failure != nil && !relay.started:
+		h.deliver(earlier.failure)
+	case earlier.mayHaveRun:
 		h.terminate(relay, unknownRefusal(ctx, last.detail()))
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		h.terminate(relay, cancelledRefusal(ctx))
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -30,19 +30,19 @@
 	var tried []usher.EndpointName
 	var next *move
 	uncountedTries := 0
-	mayHaveRun := false
+	var earlier attemptHistory
 	for {
 		if next == nil {
 			var grant *dispatch.Grant
 			var refusal *usher.Refusal
 			if grant, refusal = h.admit(ctx, h.dispatchRequest(tried, relay.started || h.knowledge == streamorigin.Recorded)); refusal != nil {
-				h.abandon(ctx, relay, refusal, mayHaveRun)
+				h.abandon(ctx, relay, refusal, earlier)
 				return
 			}
 			// A grant that comes from attempt was checked before the request moved.
 			if refusal = h.recheck(); refusal != nil {
 				grant.End(dispatch.Cancelled)
-				h.abandon(ctx, relay, refusal, mayHaveRun)
+				h.abandon(ctx, relay, refusal, earlier)
 				return
 			}
 			if grant.Endpoint.Service != h.service {
@@ -75,11 +75,13 @@
 				h.attempts--
 			}
 		case lost:
-			mayHaveRun = true
+			earlier.mayHaveRun = true
+		case failed:
+			earlier.mayHaveRun, earlier.failure = true, result.response
 		}
 		h.detail = result.detail()
 		if next == nil && !h.mayRetry(ctx, result, uncountedTries) {
-			h.finishFailed(ctx, relay, result, mayHaveRun)
+			h.finishFailed(ctx, relay, result, earlier)
 			return
 		}
 	}
@@ -157,6 +159,13 @@
 
 var attemptOutcomeNames = [...]string{"delivered", "notSent", "notRun", "lost", "failed"}
 
+// attemptHistory is what the attempts of a request have led to. failure is the last response
+// with a retryable error status.
+type attemptHistory struct {
+	mayHaveRun bool
+	failure    *bufferedResponse
+}
+
 // attemptResult is the result of one attempt. A failed attempt carries its
 // response, which is delivered if no later attempt succeeds.
 type attemptResult struct {
