Refuse by the mean duration of long requests, and send callers elsewhere

Causes, by the lines of requests: the 90th percentile of the durations relative to the model is that of short requests, and overrated long ones two to four times; streams that their callers can take up elsewhere were refused, though a cut loses nothing of them; and the refused ones came back after 50 ms to the same instance, which the load balancer had not yet taken out.

Durations are now averaged with the weight of their length, a stream that can be taken up needs only the time to its first event, and Retry-After lasts until the load balancer has noticed the stop, spread over 0.3 s.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -381,7 +381,10 @@
 	serveFor := min(readinessDelay, grace/2)
 	// Connections that wait to be accepted get their first requests until AcceptTime after
 	// Shutdown was called.
-	stop := drain.Stop{Began: startedAt, TakesUntil: startedAt.Add(serveFor + drain.AcceptTime - signalDelay), EndsAt: startedAt.Add(grace - shutdownMargin)}
+	stop := drain.Stop{
+		Began: startedAt, NoticedBy: startedAt.Add(serveFor),
+		TakesUntil: startedAt.Add(serveFor + drain.AcceptTime - signalDelay), EndsAt: startedAt.Add(grace - shutdownMargin),
+	}
 	p.gateway.StartDraining(stop)
 	time.Sleep(serveFor)
 	drainCtx, cancel := context.WithDeadline(context.Background(), stop.EndsAt)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -49,6 +49,9 @@
 	// a stream whose beginning the caller has received, or a request whose endpoint
 	// stopped responding.
 	Started bool
+	// Resumable marks a stream that its caller can take up at another instance, so that what
+	// was answered is not lost when this one stops.
+	Resumable bool
 	// Tried lists the endpoints that the request was already sent to.
 	Tried []usher.EndpointName
 	// Software restricts the request to endpoints with that software version; nil allows
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -415,7 +415,7 @@
 	if how == Answered {
 		g.service.recordDuration(g.rank, now.Sub(g.sent))
 		if g.predicted > 0 {
-			g.service.statsOf(g.route, now).durations.add(now.Sub(g.sent), g.predicted)
+			g.service.statsOf(g.route, now).duration.add(now.Sub(g.sent), g.predicted)
 		}
 	}
 	switch how {
--- a/internal/dispatch/sizes.go
+++ b/internal/dispatch/sizes.go
@@ -66,9 +66,9 @@
 	arrived, granted float64
 	// owed is the number of grants that each class has earned and not received.
 	owed [sizeClasses]float64
-	// durations are those of the route's answered requests.
-	durations durationWindow
-	lastUsed  time.Time
+	// duration is that of the route's answered requests.
+	duration meanDuration
+	lastUsed time.Time
 }
 
 // statsOf returns the statistics of a route.
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -1,24 +1,20 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"filbertusher/pkg/usher"
 )
 
-const (
-	// durationSamples is the number of recent durations of a route from which the duration
-	// of its next request is estimated, and durationQuantile the quantile that it is taken
-	// to be.
-	durationSamples  = 32
-	durationQuantile = 0.9
-)
+// durationHistory is the number of recent requests of a route over which their durations are
+// averaged.
+const durationHistory = 50
 
 // StopAt makes the scheduler begin no request any more that is not expected to end by then,
 // when this instance cancels those that still run. Such requests are refused, also while they
 // wait, for a back end would work in vain and the caller of one that may not be repeated
-// would lose it. A request whose deadline comes first ends by then in any case.
+// would lose it. Two kinds lose nothing: a request whose deadline comes first ends by then in
+// any case, and a stream that can be taken up elsewhere needs only the time to its first event.
 func (s *Scheduler) StopAt(end time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -28,13 +24,17 @@
 	}
 }
 
-// canFinish reports whether a request that is sent now is expected to end before this
-// instance does. The caller must hold s.mu.
+// canFinish reports whether a request that is sent now is expected to get so far before this
+// instance ends that its caller loses nothing. The caller must hold s.mu.
 func (s *Scheduler) canFinish(svc *service, request *Request, now time.Time) bool {
 	if s.stopAt.IsZero() || !request.Deadline.After(s.stopAt) {
 		return true
 	}
-	return !now.Add(svc.expectedDuration(request)).After(s.stopAt)
+	needed := svc.expectedDuration(request)
+	if request.Resumable {
+		needed = min(needed, s.minTimeToFirstEvent(svc, request, now))
+	}
+	return needed <= s.stopAt.Sub(now)
 }
 
 // refuseUnfinishable refuses the queued requests that can't be finished any more.
@@ -68,7 +68,7 @@
 	if stats == nil {
 		return predicted
 	}
-	return time.Duration(float64(predicted) * stats.durations.quantile())
+	return time.Duration(float64(predicted) * stats.duration.ratio())
 }
 
 // predictedDuration returns the duration that the model predicts at an average endpoint.
@@ -80,28 +80,21 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// durationWindow holds the last durationSamples durations of a route, written in rotation at
-// next, each relative to the model's prediction.
-type durationWindow struct {
-	ratios []float64
-	next   int
-}
+// meanDuration is the duration of a route's recent requests, in seconds, and what the model
+// predicted for them, both as sums that are weighted by age. Their ratio depends mostly on long
+// requests, whose end matters most; that of short ones says little about those.
+type meanDuration struct{ took, predicted float64 }
 
-func (d *durationWindow) add(took, predicted time.Duration) {
-	ratio := took.Seconds() / predicted.Seconds()
-	if len(d.ratios) < durationSamples {
-		d.ratios = append(d.ratios, ratio)
-		return
-	}
-	d.ratios[d.next] = ratio
-	d.next = (d.next + 1) % durationSamples
+func (d *meanDuration) add(took, predicted time.Duration) {
+	const kept = 1 - 1.0/durationHistory
+	d.took = d.took*kept + took.Seconds()
+	d.predicted = d.predicted*kept + predicted.Seconds()
 }
 
-// quantile returns the durationQuantile of the ratios, or 1 if there are none.
-func (d *durationWindow) quantile() float64 {
-	if len(d.ratios) == 0 {
+// ratio returns by how much requests take longer than predicted, or 1 if none has ended yet.
+func (d *meanDuration) ratio() float64 {
+	if d.predicted == 0 {
 		return 1
 	}
-	sorted := slices.Sorted(slices.Values(d.ratios))
-	return sorted[int(float64(len(sorted))*durationQuantile)]
+	return d.took / d.predicted
 }
--- a/internal/dispatch/stop_test.go
+++ b/internal/dispatch/stop_test.go
@@ -46,6 +46,7 @@
 		left        time.Duration
 		wait        time.Duration
 		prompt      usher.Tokens
+		resumable   bool
 		wantRefused bool
 	}{
 		{name: "enough time", left: 4100 * time.Millisecond, wait: far},
@@ -53,6 +54,8 @@
 		{name: "too little time, but a near deadline", left: 3900 * time.Millisecond, wait: near},
 		{name: "a shorter prompt than earlier ones", spec: ServiceSpec{Engine: true}, earlier: Request{Prompt: 20000}, prompt: 2000, left: 2 * time.Second, wait: far},
 		{name: "a longer prompt than earlier ones", spec: ServiceSpec{Engine: true}, earlier: Request{Prompt: 20000}, prompt: 60000, left: 6 * time.Second, wait: far, wantRefused: true},
+		{name: "too little time, but a stream that can be taken up", spec: ServiceSpec{Engine: true}, earlier: Request{Prompt: 20000}, prompt: 20000, left: 2 * time.Second, wait: far, resumable: true},
+		{name: "a stream that can be taken up, too late for its first event", spec: ServiceSpec{Engine: true}, earlier: Request{Prompt: 20000}, prompt: 20000, left: 100 * time.Millisecond, wait: far, resumable: true, wantRefused: true},
 		{name: "rests of streams were answered sooner", earlier: Request{Started: true}, left: time.Second, wait: far},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -61,7 +64,7 @@
 			s, now := stopScheduler(t, test.spec, &earlier)
 			s.StopAt(now.Add(test.left))
 			request := requestUntil(*now, test.wait)
-			request.Prompt = test.prompt
+			request.Prompt, request.Resumable = test.prompt, test.resumable
 			grant := s.TryAdmit(request)
 			if (grant == nil) != test.wantRefused {
 				t.Errorf("TryAdmit granted: %v, want refused: %v", grant != nil, test.wantRefused)
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -46,6 +46,9 @@
 type Stop struct {
 	// Began is when the process was told to stop.
 	Began time.Time
+	// NoticedBy is when the load balancer has noticed it, so that new connections reach other
+	// instances.
+	NoticedBy time.Time
 	// TakesUntil is the end of the time in which requests are taken whatever their deadline.
 	TakesUntil time.Time
 	// EndsAt is when the requests that still run are cancelled.
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -113,7 +114,7 @@
 	h.headers = headers
 	h.deadline = h.arrived.Add(h.callerTimeout())
 	if !h.gateway.server.Takes(h.deadline) {
-		return stoppingRefusal()
+		return h.gateway.stoppingRefusal()
 	}
 	if refusal := h.readBody(index); refusal != nil {
 		return refusal
@@ -123,7 +124,7 @@
 	}
 	h.setDeadline()
 	if !h.gateway.server.Takes(h.deadline) {
-		return stoppingRefusal()
+		return h.gateway.stoppingRefusal()
 	}
 	if refusal := h.resolveOrigin(); refusal != nil {
 		return refusal
@@ -141,9 +142,10 @@
 	// defaultRetryAfter is the Retry-After value for short conditions: an instance
 	// that has just started, a stale configuration, failed attempts.
 	defaultRetryAfter = 500 * time.Millisecond
-	// stoppingRetryAfter is the Retry-After value while this instance stops: a retry
-	// reaches another one.
-	stoppingRetryAfter = 50 * time.Millisecond
+	// minStoppingRetryAfter is the shortest Retry-After value while this instance stops,
+	// and stoppingRetryJitter the time over which retries are spread.
+	minStoppingRetryAfter = 50 * time.Millisecond
+	stoppingRetryJitter   = 300 * time.Millisecond
 	// defaultTimeout applies where neither the caller nor the route sets one.
 	defaultTimeout = 60 * time.Second
 	// bodyReadTimeout bounds how long a caller may take to send the body.
@@ -152,15 +154,25 @@
 
 // stoppingRefusal returns the refusal of a request that this instance has no time left to
 // run.
-func stoppingRefusal() *usher.Refusal {
-	return usher.NewRefusal(usher.RefusalLeaving, (&StoppingError{}).Error()).WithRetryAfter(stoppingRetryAfter)
+func (g *Gateway) stoppingRefusal() *usher.Refusal {
+	return usher.NewRefusal(usher.RefusalLeaving, (&StoppingError{}).Error()).WithRetryAfter(g.stoppingRetryAfter())
+}
+
+// stoppingRetryAfter returns the Retry-After value of a request that is refused because this
+// instance stops. Until the load balancer has noticed, a retry would return to it.
+func (g *Gateway) stoppingRetryAfter() time.Duration {
+	stop := g.server.Stop()
+	if stop == nil || time.Now().After(stop.NoticedBy) {
+		return minStoppingRetryAfter
+	}
+	return time.Until(stop.NoticedBy) + minStoppingRetryAfter + rand.N(stoppingRetryJitter)
 }
 
 // cancelledRefusal returns the refusal of a request that was cancelled before it was run:
 // by this instance at the end of a stop, or because its caller left.
-func cancelledRefusal(ctx context.Context) *usher.Refusal {
+func (g *Gateway) cancelledRefusal(ctx context.Context) *usher.Refusal {
 	if stopping := new(StoppingError); errors.As(context.Cause(ctx), &stopping) {
-		return stoppingRefusal()
+		return g.stoppingRefusal()
 	}
 	return usher.NewRefusal(usher.RefusalCancelled, "the caller left")
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -33,7 +33,7 @@
 	case earlier.mayHaveRun:
 		h.terminate(relay, unknownRefusal(ctx, last.detail()))
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		h.terminate(relay, cancelledRefusal(ctx))
+		h.terminate(relay, h.gateway.cancelledRefusal(ctx))
 	default:
 		refusal := usher.NewRefusal(usher.RefusalOverloaded, last.detail())
 		h.terminate(relay, refusal.WithRetryAfter(defaultRetryAfter))
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -94,7 +94,7 @@
 		ID: h.headers.ID, Service: h.service, Route: h.route.Name, Rank: h.rank(), Started: started,
 		Prompt: h.headers.Cost.PromptTokens, Answer: h.headers.Cost.AnswerTokens,
 		Prefix: h.headers.Prefix, Arrived: h.arrived, Deadline: h.deadline, Tried: tried,
-		Software: h.requiredSoftware(),
+		Software: h.requiredSoftware(), Resumable: h.route.Kind == usher.KindStream && h.route.Resumable,
 	}
 	if h.headers.ExpectedAnswerTokens > 0 {
 		request.Answer = h.headers.ExpectedAnswerTokens
@@ -117,14 +117,14 @@
 	refusal := new(usher.Refusal)
 	if errors.As(err, &refusal) {
 		if refusal.Kind == usher.RefusalLeaving {
-			refusal = refusal.WithRetryAfter(stoppingRetryAfter)
+			refusal = refusal.WithRetryAfter(h.gateway.stoppingRetryAfter())
 		}
 		return nil, refusal
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return nil, usher.NewRefusal(usher.RefusalOverloaded, "no endpoint had room before the deadline")
 	}
-	return nil, cancelledRefusal(ctx)
+	return nil, h.gateway.cancelledRefusal(ctx)
 }
 
 // recheck repeats the checks whose result may have changed while the request
