--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -80,21 +80,22 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// meanDuration is the duration of a route's recent requests, in seconds, and what the model
-// predicted for them, both as sums that are weighted by age. Their ratio depends mostly on long
-// requests, whose end matters most; that of short ones says little about those.
-type meanDuration struct{ took, predicted float64 }
+// meanDuration is by how much a route's recent requests took longer than the model predicted,
+// weighted by their duration and by age. A stop cuts long requests, and what short ones took says
+// little about those. weighted is the sum of the ratios times the durations, in seconds, and took
+// that of the durations.
+type meanDuration struct{ weighted, took float64 }
 
 func (d *meanDuration) add(took, predicted time.Duration) {
 	const kept = 1 - 1.0/durationHistory
+	d.weighted = d.weighted*kept + took.Seconds()*took.Seconds()/predicted.Seconds()
 	d.took = d.took*kept + took.Seconds()
-	d.predicted = d.predicted*kept + predicted.Seconds()
 }
 
-// ratio returns by how much requests take longer than predicted, or 1 if none has ended yet.
+// ratio returns the mean, or 1 if no request has ended yet.
 func (d *meanDuration) ratio() float64 {
-	if d.predicted == 0 {
+	if d.took == 0 {
 		return 1
 	}
-	return d.took / d.predicted
+	return d.weighted / d.took
 }
