Keep idle connections open during a stop for as long as callers were told

Callers of a gateway that stops lost requests that crossed the close of their idle connections: the server closed all of them 2.6 s after the signal.

Responses now say Keep-Alive: timeout=2, which callers heed, and an idle connection is closed once it has been idle for half a second longer, or at the end of the grace. Gateways serve for 2.6 s after the signal anyway, so only connections that were busy then make a stop longer. Idle connections that are left at its end no longer count as cut requests.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -13,6 +13,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	// checkInterval is how often a stopping server looks for connections that it can
 	// close.
 	checkInterval = 20 * time.Millisecond
+	// idleMargin is how much longer than the time that callers were told a stopping server
+	// keeps an idle connection: for a response and a request that are on their way.
+	idleMargin = 500 * time.Millisecond
 )
 
 // Limits bound the connections of a server, so that it does not use up the descriptors of
@@ -65,6 +69,8 @@
 	listener atomic.Pointer[listener]
 	// stop is nil until the server drains.
 	stop atomic.Pointer[Stop]
+	// idleTime is the time.Duration that SetIdleTime was given last.
+	idleTime atomic.Int64
 	// closedIdle counts the idle connections that were closed while the server drained.
 	closedIdle atomic.Int64
 	// stopping is set by Shutdown, which may come before Serve.
@@ -93,6 +99,9 @@
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.Draining() || s.isCrowded() {
 			w.Header().Set("Connection", "close")
+		} else if seconds := int(s.IdleTime() / time.Second); seconds > 0 {
+			w.Header().Set("Connection", "keep-alive")
+			w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
 		}
 		handler.ServeHTTP(w, r)
 	})
@@ -114,6 +123,14 @@
 	return nil
 }
 
+// SetIdleTime sets how long callers are told that they may use an idle connection, in whole
+// seconds. Shorter times are not told. Without it Shutdown closes idle connections at once, and
+// a request that crosses the close gets no answer.
+func (s *Server) SetIdleTime(idle time.Duration) { s.idleTime.Store(int64(idle)) }
+
+// IdleTime returns the time that SetIdleTime has set.
+func (s *Server) IdleTime() time.Duration { return time.Duration(s.idleTime.Load()) }
+
 // isCrowded reports whether more connections are open than may be kept.
 func (s *Server) isCrowded() bool { return s.listener.Load().open.Load() > int64(s.limits.KeepAlive) }
 
@@ -145,10 +162,11 @@
 	return stop == nil || time.Now().Before(stop.TakesUntil) || !deadline.After(stop.EndsAt)
 }
 
-// Shutdown stops accepting connections and closes each one that has no request, until
-// none is left. Unless StartDraining was called before, requests are taken for AcceptTime.
-// It returns the error of ctx if that is done before, and otherwise the errors of closing
-// the listener, which may have reset connections that waited.
+// Shutdown stops accepting connections and closes each one that has no request, once its
+// caller does not send one any more by what it was told (SetIdleTime), until none is left. When
+// ctx is done it closes all that have no request, and returns the error of ctx if others are
+// left. Unless StartDraining was called before, requests are taken for AcceptTime. Shutdown also
+// returns the errors of closing the listener, which may have reset connections that waited.
 func (s *Server) Shutdown(ctx context.Context) error {
 	began := time.Now()
 	stop := Stop{Began: began, TakesUntil: began.Add(AcceptTime)}
@@ -161,22 +179,32 @@
 	if l := s.listener.Load(); l != nil {
 		l.stop()
 	}
+	idleTime := time.Duration(0)
+	if told := s.IdleTime(); told >= time.Second {
+		idleTime = told + idleMargin
+	}
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
 		now := time.Now()
+		idleSince, newSince := now.Add(-idleTime), now.Add(-max(idleTime, newConnGrace))
+		if ctx.Err() != nil {
+			idleSince, newSince = now, now
+		}
 		// In this order: a connection that is accepted in between is counted.
 		stopped := s.stoppedAccepting()
-		if open := s.closeUnused(now, now.Add(-newConnGrace)); stopped && open == 0 {
+		if open := s.closeUnused(idleSince, newSince); stopped && open == 0 {
 			err := s.http.Close()
 			if l := s.listener.Load(); l != nil {
 				err = errors.Join(err, l.closeErr)
 			}
 			return err
 		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -13,6 +13,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"filbertusher/internal/drain"
 )
 
@@ -356,3 +358,68 @@
 		}
 	}
 }
+
+// Callers are told how long they may use an idle connection. It is kept for that long while the
+// server stops, whose last requests crossed the close of their connections otherwise.
+func TestShutdownKeepsIdleConnectionsAsTold(t *testing.T) {
+	fx := start(t, 0)
+	fx.SetIdleTime(time.Second)
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", fx.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn, bufio.NewReader(conn)
+	}
+	used, usedReader := dial()
+	unused, unusedReader := dial()
+	for conn, reader := range map[net.Conn]*bufio.Reader{used: usedReader, unused: unusedReader} {
+		if _, err := fmt.Fprint(conn, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff("timeout=1", response.Header.Get("Keep-Alive")); diff != "" {
+			t.Error(diff)
+		}
+	}
+	stopped := make(chan error, 1)
+	go func() { stopped <- fx.stop(t, 5*time.Second) }()
+	time.Sleep(900 * time.Millisecond)
+	if closes, err := exchange(used, usedReader, "/b"); err != nil || !closes {
+		t.Errorf("a request on a connection that was idle for less than told: closes %v, %v", closes, err)
+	}
+	if _, err := unusedReader.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("got %v, want io.EOF", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("Shutdown returned %v", err)
+	}
+}
+
+// Idle connections that are left at the end of a stop are closed, and cut nothing.
+func TestShutdownClosesIdleConnectionsAtItsEnd(t *testing.T) {
+	fx := start(t, 0)
+	fx.SetIdleTime(time.Minute)
+	conn, err := net.Dial("tcp", fx.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	if _, err := exchange(conn, reader, "/a"); err != nil {
+		t.Fatal(err)
+	}
+	if err := fx.stop(t, time.Second); err != nil {
+		t.Errorf("Shutdown returned %v", err)
+	}
+	if open, closedIdle := fx.Connections(); open != 0 || closedIdle != 1 {
+		t.Errorf("%d connections are open and %d were closed, want 0 and 1", open, closedIdle)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,11 @@
 	maxHeaderBytes = 64 << 10
 	// idleSweepInterval is the interval between scans for idle connections.
 	idleSweepInterval = time.Second
+	// maxToldIdleTime bounds how long callers are told that they may use an idle connection.
+	// A stopping instance keeps idle connections open for that time, since a request may be
+	// on its way on any of them. It serves for longer in any case, until the load balancer
+	// has noticed, so that only connections that were busy then make a stop last longer.
+	maxToldIdleTime = 2 * time.Second
 )
 
 // Gateway is the HTTP server for callers in one process.
@@ -119,6 +124,7 @@
 	g.responseMemory = semaphore.NewWeighted(cmp.Or(options.ResponseMemory, defaultBodyMemory))
 	g.http = &http.Server{Handler: g, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes}
 	g.server = drain.New(g.http, nil, options.Connections)
+	g.server.SetIdleTime(maxToldIdleTime)
 	return g
 }
 
@@ -176,5 +182,6 @@
 	if index := g.Routes.Index(); index != nil && index.Table.Limits.IdleTimeout > 0 {
 		limit = index.Table.Limits.IdleTimeout
 	}
+	g.server.SetIdleTime(min(maxToldIdleTime, limit-idleSweepInterval))
 	g.server.CloseIdle(time.Now().Add(-limit))
 }
