Begin nothing that can't end before its entry stops

The same happened to retries after the loss of a companion, and to orders, whose callers could get the answer only by sending the key again.

A companion decides late and by its own knowledge of how long requests take, but did not know that the entry stops. Deadlines, the only limit it had, are longer than a stop.

Messages of an entry say now how long it still waits (Caller.StopsIn; older companions ignore it), and a ping tells each companion at the signal. Admission treats that like a deadline of the entry's requests, with its own estimate and margin: what can't end by then is refused as leaving, not run, at once or as soon as it has waited too long, reservations included. A request whose deadline lies before the end may always begin. The entry offers it elsewhere, and refuses with Retry-After if no endpoint takes it. Nothing estimated the time in a plain service, as those have no tokens: the slowest responses of late count.

Event lateDispatch says of each request that is sent for a process that stops how much time was left and how long it was expected to take.

On the tests of real processes fail: of a stop of 6 s, the waiting question and the waiting stream of 6 s were begun and cut, as were the order (3 s, in a stop of 5 s) and the retry (6 s, in a stop of 8 s, 3 s after the signal), and what waited at the end was cut without an answer. With the change, none was begun, and each caller got a refusal; the short one that waited with them ran.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -59,6 +59,7 @@
 	prefill     prefillWindow
 	demand      demandEstimator
 	preemption  preemption
+	stops       stops
 	// runningByRank counts the requests in the engine. It is needed to reserve
 	// slots for more urgent tiers.
 	runningByRank map[usher.Rank]int
@@ -76,10 +77,12 @@
 	Admitted int64 `json:"admitted"`
 	// Infeasible requests were refused because they could not end in time.
 	Infeasible int64 `json:"hopeless"`
-	Full       int64 `json:"full"`
-	Evicted    int64 `json:"evicted"`
-	Withdrawn  int64 `json:"withdrawn"`
-	Preempted  int64 `json:"preempted"`
+	// Stopped requests were refused because they could not end before a process stops.
+	Stopped   int64 `json:"stopped"`
+	Full      int64 `json:"full"`
+	Evicted   int64 `json:"evicted"`
+	Withdrawn int64 `json:"withdrawn"`
+	Preempted int64 `json:"preempted"`
 }
 
 // defaultMaxWaitingTokens bounds the prompt tokens that wait when no bound is set.
@@ -134,13 +137,16 @@
 				return nil, req.refusal
 			}
 			return req.slot, nil
+		case <-req.changed:
+			latestStart.Reset(0)
 		case <-latestStart.C:
-			if left := c.timeLeft(req); left > 0 {
+			left, refusal := c.timeLeft(req)
+			if left > 0 {
 				latestStart.Reset(left)
 				continue
 			}
-			c.withdraw(req, infeasibleRefusal())
-			return c.awaitWithdrawal(req, infeasibleRefusal())
+			c.withdraw(req, refusal)
+			return c.awaitWithdrawal(req, refusal)
 		case <-ctx.Done():
 			refusal := contextRefusal(ctx)
 			c.withdraw(req, refusal)
@@ -150,13 +156,13 @@
 }
 
 // timeLeft returns how much longer the request can wait, given the current
-// speed of the engine.
-func (c *Controller) timeLeft(req *request) time.Duration {
+// speed of the engine, and why it is refused after that.
+func (c *Controller) timeLeft(req *request) (time.Duration, *usher.Refusal) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
 	req.latestStart = c.latestStart(req.header, now)
-	return req.latestStart.Sub(now)
+	return req.latestStart.Sub(now), c.infeasibleRefusal(req.header)
 }
 
 // awaitWithdrawal returns the result of a request after withdraw. The slot of a
@@ -178,8 +184,9 @@
 	c.limiter.update(now, c.running, c.saturated())
 	req := c.newRequest(header, now)
 	if c.limiter.calibrated() && c.limiter.atCapacity(now) && now.Add(c.waitBehindMoreUrgent(header.Rank)).After(req.latestStart) {
-		c.counts.Infeasible++
-		return nil, infeasibleRefusal()
+		refusal := c.infeasibleRefusal(header)
+		c.countInfeasible(refusal)
+		return nil, refusal
 	}
 	if !c.evictFor(req) {
 		c.counts.Full++
@@ -213,10 +220,10 @@
 	if !c.queue.remove(req) {
 		return
 	}
-	if refusal.Kind == usher.RefusalDeadlineExceeded {
-		c.counts.Infeasible++
-	} else {
+	if refusal.Kind == usher.RefusalCancelled {
 		c.counts.Withdrawn++
+	} else {
+		c.countInfeasible(refusal)
 	}
 	req.decide(nil, refusal)
 }
@@ -236,8 +243,7 @@
 		c.queue.remove(req)
 		c.updateEstimate(req, now)
 		if req.infeasible(now) {
-			c.counts.Infeasible++
-			req.decide(nil, infeasibleRefusal())
+			c.refuseInfeasible(req)
 			continue
 		}
 		c.queue.charge(req)
@@ -340,10 +346,6 @@
 	return usher.NewRefusal(usher.RefusalCancelled, "the request was withdrawn while it waited")
 }
 
-func infeasibleRefusal() *usher.Refusal {
-	return usher.NewRefusal(usher.RefusalDeadlineExceeded, "the endpoint can't end the request before its deadline")
-}
-
 // retryAfter is the retry delay that callers get while the queue is full.
 const retryAfter = time.Second
 
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -114,6 +114,22 @@
 		var tokens int
 		d.ScanArgs(t, "tokens", &tokens)
 		h.requests[usher.RequestID(d.CmdArgs[0].Key)].slot.ObserveResponse(usher.Tokens(tokens))
+	case "endWork":
+		// endWork left=10s [entry=name]; the entry of a request is named like its workspace.
+		var entry, leftText string
+		d.ScanArgs(t, "left", &leftText)
+		d.MaybeScanArgs(t, "entry", &entry)
+		left, err := time.ParseDuration(leftText)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.controller.EndWork(usher.Incarnation(entry), left)
+	case "took":
+		took, err := time.ParseDuration(d.CmdArgs[1].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.requests[usher.RequestID(d.CmdArgs[0].Key)].slot.ObserveDuration(took)
 	case "preemptible":
 		for _, arg := range d.CmdArgs {
 			h.requests[usher.RequestID(arg.Key)].slot.EnablePreemption()
@@ -185,7 +201,7 @@
 
 func newHeader(id string, rank usher.Rank, workspace string, prompt, answer int, deadline time.Time) *usher.RequestHeader {
 	return &usher.RequestHeader{
-		ID: usher.RequestID(id), Rank: rank, Workspace: usher.WorkspaceName(workspace), Stream: true,
+		ID: usher.RequestID(id), Rank: rank, Workspace: usher.WorkspaceName(workspace), Entry: usher.Incarnation(workspace), Stream: true,
 		Cost: usher.RequestCost{PromptTokens: usher.Tokens(prompt), AnswerTokens: usher.Tokens(answer)}, Deadline: deadline,
 	}
 }
--- a/internal/admission/limiter.go
+++ b/internal/admission/limiter.go
@@ -54,6 +54,10 @@
 	// the caller set. It is valid once responseRatioKnown is set.
 	responseRatio      float64
 	responseRatioKnown bool
+	// duration is the time that a plain service takes for its slow responses, or 0 before the
+	// first one.
+	duration time.Duration
+	fixed    bool
 	// lateFirstTokens counts the late first tokens since the limit was last
 	// adjusted.
 	lateFirstTokens int
@@ -84,6 +88,8 @@
 	defaultTargetInterval = 25 * time.Millisecond
 	// responseSamples is about how many responses responseRatio averages over.
 	responseSamples = 32
+	// durationSamples is after about how many quicker responses duration falls.
+	durationSamples = 32
 	// bestIntervalSteps is the time constant, in updates, with which bestInterval
 	// rises to the average interval of an engine that has become slower.
 	bestIntervalSteps = 500
@@ -102,7 +108,7 @@
 )
 
 func newLimiter(options *Options) *limiter {
-	l := &limiter{maxLimit: options.MaxRunning, targetInterval: options.TargetTokenInterval, interval: defaultInterval, prefillPerToken: defaultPrefillPerToken}
+	l := &limiter{maxLimit: options.MaxRunning, targetInterval: options.TargetTokenInterval, interval: defaultInterval, prefillPerToken: defaultPrefillPerToken, fixed: options.FixedLimit}
 	if l.targetInterval == 0 {
 		l.targetInterval = defaultTargetInterval
 	}
@@ -223,6 +229,9 @@
 	// the engine's speed has been measured, because no request is refused on
 	// the basis of defaults.
 	measured time.Duration
+	// learned is the total that is compared with the end of a process. It is also
+	// known for plain services, which have no tokens.
+	learned time.Duration
 }
 
 func (l *limiter) estimate(cost usher.RequestCost) estimate {
@@ -237,6 +246,10 @@
 	if l.responseRatioKnown && l.bestInterval > 0 {
 		e.measured = e.total
 	}
+	e.learned = e.measured
+	if l.fixed {
+		e.learned = l.duration
+	}
 	return e
 }
 
@@ -264,6 +277,14 @@
 	l.responseRatio += (measured - l.responseRatio) / responseSamples
 }
 
+// recordDuration updates the duration of slow responses. A plain service may have quick and
+// slow operations that look alike, so an average would be too short for the slow ones.
+func (l *limiter) recordDuration(elapsed time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.duration = max(elapsed, l.duration-(l.duration-elapsed)/durationSamples)
+}
+
 // timePerToken returns the measured times per token of prefill and decoding.
 func (l *limiter) timePerToken() (prefill, decode time.Duration) {
 	l.mu.Lock()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -173,6 +173,17 @@
 	return best
 }
 
+// requests returns all waiting requests.
+func (q *queue) requests() []*request {
+	all := make([]*request, 0, q.count)
+	for _, t := range q.tiers {
+		for _, w := range t.workspaces {
+			all = append(append(all, w.heaps[0]...), w.heaps[1]...)
+		}
+	}
+	return all
+}
+
 // beyondAllRanks is greater than every rank, which means less urgent.
 const beyondAllRanks = usher.Rank(1 << 30)
 
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -30,6 +30,8 @@
 	decided chan struct{}
 	slot    *slot
 	refusal *usher.Refusal
+	// changed has a value after latestStart became earlier.
+	changed chan struct{}
 }
 
 const (
@@ -48,7 +50,7 @@
 )
 
 func (c *Controller) newRequest(header *usher.RequestHeader, now time.Time) *request {
-	req := &request{header: header, arrival: now, heapIndex: -1, decided: make(chan struct{})}
+	req := &request{header: header, arrival: now, heapIndex: -1, decided: make(chan struct{}), changed: make(chan struct{}, 1)}
 	c.updateEstimate(req, now)
 	req.due = dueTime(req)
 	return req
@@ -64,13 +66,25 @@
 }
 
 // latestStart returns when a request has to be admitted at the latest to end
-// before its deadline.
+// before its deadline and before a process stops.
 func (c *Controller) latestStart(header *usher.RequestHeader, now time.Time) time.Time {
-	measured := c.limiter.estimate(header.Cost).measured
-	if measured == 0 {
-		return header.Deadline
+	expected, backlog := c.limiter.estimate(header.Cost), c.prefill.backlog(now)
+	latest := startFor(header.Deadline, expected.measured, backlog)
+	if end, stops := c.stops.limit(header); stops {
+		if start := startFor(end, expected.learned, backlog); start.Before(latest) {
+			return start
+		}
+	}
+	return latest
+}
+
+// startFor returns when a request has to be admitted at the latest to end before end. An
+// expected time of 0 is unknown.
+func startFor(end time.Time, expected, backlog time.Duration) time.Time {
+	if expected == 0 {
+		return end
 	}
-	return header.Deadline.Add(-measured - measured*safetyMarginEighths/8 - c.prefill.backlog(now))
+	return end.Add(-expected - expected*safetyMarginEighths/8 - backlog)
 }
 
 // dueTime returns the time by which requests of one workspace and tier are
@@ -95,6 +109,14 @@
 
 func (req *request) infeasible(now time.Time) bool { return now.After(req.latestStart) }
 
+// notifyChanged makes Admit look at latestStart again.
+func (req *request) notifyChanged() {
+	select {
+	case req.changed <- struct{}{}:
+	default:
+	}
+}
+
 func (req *request) decide(s *slot, refusal *usher.Refusal) {
 	req.slot, req.refusal = s, refusal
 	close(req.decided)
@@ -177,6 +199,9 @@
 	s.controller.limiter.recordResponse(tokens, s.request.header.Cost.AnswerTokens)
 }
 
+// ObserveDuration implements usher.Slot.
+func (s *slot) ObserveDuration(elapsed time.Duration) { s.controller.limiter.recordDuration(elapsed) }
+
 // prefillEnded removes the prompt from the prefill window, which may admit
 // further requests.
 func (s *slot) prefillEnded() {
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -121,7 +121,7 @@
 	p.parts.run(func() error { return recorder.Run(ctx, server.RecordPeers()) })
 	p.parts.run(func() error {
 		defer cancel()
-		err := server.Serve(serveCtx, listener, p.drainTimeout)
+		err := server.Serve(serveCtx, listener, entry.StopTimes{ReadinessDelay: p.readinessDelay, Grace: p.drainTimeout})
 		drainCtx, cancelDrain := context.WithTimeout(ctx, p.drainTimeout)
 		defer cancelDrain()
 		recorder.Close(drainCtx)
@@ -131,7 +131,6 @@
 	go p.awaitConfig(ctx)
 	go func() {
 		p.awaitStop(signalCtx)
-		time.Sleep(p.readinessDelay)
 		stopServing()
 	}()
 	return p.parts.wait()
--- a/internal/companion/companion.go
+++ b/internal/companion/companion.go
@@ -131,7 +131,7 @@
 func (c *Companion) submit(args *wire.SubmitArgs) wire.SubmitReply {
 	c.metrics.submitted(1)
 	header := args.Header
-	header.Deadline = time.Now().Add(args.Remaining)
+	header.Deadline, header.Entry = time.Now().Add(args.Remaining), args.Incarnation
 	if header.Key != "" && !header.Idempotent {
 		return c.submitKeyed(args, header)
 	}
--- a/internal/companion/execution.go
+++ b/internal/companion/execution.go
@@ -73,7 +73,11 @@
 // dispatch sends the request to the endpoint, unless it was withdrawn.
 func (e *execution) dispatch(ctx context.Context, slot usher.Slot) wire.SubmitReply {
 	c := e.companion
-	if refusal := e.acquireRunLock(ctx); refusal != nil {
+	refusal := e.acquireRunLock(ctx)
+	if refusal == nil {
+		refusal = e.checkStop()
+	}
+	if refusal != nil {
 		e.release(slot)
 		e.complete(nil, refusal)
 		return c.refusedReply(refusal)
@@ -105,6 +109,22 @@
 	return wire.SubmitReply{Status: c.status(), State: wire.StateAnswered, Answer: response}
 }
 
+// checkStop refuses a request that has become too late for the stop of a process since it
+// was admitted, while its key was stored or a suspected request ran alone.
+func (e *execution) checkStop() *usher.Refusal {
+	limit, stops := e.companion.Admission.StopLimit(&e.request.Header)
+	if !stops {
+		return nil
+	}
+	begins := limit.Left > limit.Expected
+	e.companion.Log.Info().Str("requestId", string(e.request.Header.ID)).Int64("leftMs", limit.Left.Milliseconds()).
+		Int64("expectedMs", limit.Expected.Milliseconds()).Bool("begins", begins).Msg("lateDispatch")
+	if begins {
+		return nil
+	}
+	return usher.NewRefusal(usher.RefusalLeaving, "too little time is left before the instance stops").WithRetryAfter(time.Second)
+}
+
 // release releases what the request holds. slot is nil if the request gave up its
 // slot before it ended.
 func (e *execution) release(slot usher.Slot) {
@@ -116,9 +136,10 @@
 	e.companion.drain.done()
 }
 
-// observe reports the mean time per token of a complete response, because its
-// tokens have no separate times.
+// observe reports the duration of a complete response and its mean time per token,
+// because its tokens have no separate times.
 func observe(slot usher.Slot, elapsed time.Duration, usage usher.Usage) {
+	slot.ObserveDuration(elapsed)
 	if usage.AnswerTokens > 0 {
 		slot.ObserveToken(elapsed / time.Duration(usage.AnswerTokens))
 		slot.ObserveResponse(usage.AnswerTokens)
--- a/internal/companion/keyed.go
+++ b/internal/companion/keyed.go
@@ -214,7 +214,7 @@
 		e.key.Finish(nil, usher.NewAttemptRefusal(usher.RefusalOverloaded, "the endpoint is full"))
 		return e.companion.notAdmitted(e.request, nil)
 	}
-	if refusal.Kind == usher.RefusalLeaving {
+	if refusal.Kind == usher.RefusalLeaving && e.companion.drain.isDraining() {
 		return e.redirectToSuccessor()
 	}
 	return e.refuse(e.confirmNotRun(refusal))
--- a/internal/companion/reserve.go
+++ b/internal/companion/reserve.go
@@ -110,7 +110,7 @@
 // reserve waits for capacity for a request whose body stays at the entry.
 func (c *Companion) reserve(args *wire.ReserveArgs) wire.ReserveReply {
 	header := args.Header
-	header.Deadline = time.Now().Add(args.Remaining)
+	header.Deadline, header.Entry = time.Now().Add(args.Remaining), args.Incarnation
 	ctx, cancel := context.WithDeadline(context.Background(), header.Deadline)
 	defer cancel()
 	if c.drain.isDraining() {
--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -11,9 +11,17 @@
 // NewRPC returns the remote methods of a companion.
 func NewRPC(companion *Companion) *RPC { return &RPC{companion: companion} }
 
+// observeCaller uses what a caller states about itself.
+func (r *RPC) observeCaller(caller *wire.Caller) {
+	r.companion.Config.ReportPeerVersion(caller.Peer, caller.ConfigVersion)
+	if caller.StopsIn > 0 {
+		r.companion.Admission.EndWork(caller.Incarnation, caller.StopsIn)
+	}
+}
+
 // Submit offers a request with its body.
 func (r *RPC) Submit(args *wire.SubmitArgs, reply *wire.SubmitReply) error {
-	r.companion.Config.ReportPeerVersion(args.Peer, args.ConfigVersion)
+	r.observeCaller(&args.Caller)
 	if err := r.companion.RecordReplica.CheckCapacity(args.Header.Rank); err != nil {
 		refusal := toRefusal(err, usher.OutcomeNotRun)
 		if args.Header.Key != "" && !args.Header.Idempotent {
@@ -42,6 +50,7 @@
 
 // Reserve waits for a slot for a request without its body.
 func (r *RPC) Reserve(args *wire.ReserveArgs, reply *wire.ReserveReply) error {
+	r.observeCaller(&args.Caller)
 	*reply = r.companion.reserve(args)
 	return nil
 }
@@ -68,7 +77,7 @@
 
 // Collect waits for events of the calling entry's streams.
 func (r *RPC) Collect(args *wire.CollectArgs, reply *wire.CollectReply) error {
-	r.companion.Config.ReportPeerVersion(args.Peer, args.ConfigVersion)
+	r.observeCaller(&args.Caller)
 	for _, id := range args.Withdraw {
 		r.companion.Ledger.Withdraw(id, true)
 	}
@@ -87,7 +96,8 @@
 }
 
 // Ping returns the status, which identifies the running incarnation.
-func (r *RPC) Ping(_ *wire.PingArgs, reply *wire.PingReply) error {
+func (r *RPC) Ping(args *wire.PingArgs, reply *wire.PingReply) error {
+	r.observeCaller(&args.Caller)
 	reply.Status = r.companion.status()
 	return nil
 }
--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -34,8 +34,11 @@
 	// reason. The first triedCount elements of tried name the endpoints tried.
 	overloaded          bool
 	deadlineUnreachable bool
-	tried               [maxTriedEndpoints]usher.EndpointName
-	triedCount          int
+	// leaving is set if an endpoint refused because it leaves, or because this process
+	// stops before the request could end.
+	leaving    bool
+	tried      [maxTriedEndpoints]usher.EndpointName
+	triedCount int
 }
 
 // maxTriedEndpoints is the maximum number of endpoints at which one request
@@ -68,7 +71,7 @@
 	}
 	for range maxConnectRounds {
 		res, final := c.waitForCandidate(ctx)
-		if final || c.overloaded || c.deadlineUnreachable || ctx.Err() != nil {
+		if final || c.overloaded || c.deadlineUnreachable || c.isTooLate() || ctx.Err() != nil {
 			return res
 		}
 		c.triedCount = 0
@@ -149,13 +152,19 @@
 	}
 	c.overloaded = c.overloaded || refusal.Kind == usher.RefusalOverloaded
 	c.deadlineUnreachable = c.deadlineUnreachable || refusal.Kind == usher.RefusalDeadlineExceeded
+	c.leaving = c.leaving || refusal.Kind == usher.RefusalLeaving
 }
 
+// isTooLate reports whether no endpoint can end the request before this process stops.
+func (c *candidateSearch) isTooLate() bool { return c.leaving && c.entry.stop.hasBegun() }
+
 // finalRefusal returns the refusal of a request that no endpoint took.
 func (c *candidateSearch) finalRefusal(ctx context.Context) *usher.Refusal {
 	switch {
 	case ctx.Err() != nil:
 		return usher.NewRefusal(contextRefusalKind(ctx), "the request ended before an endpoint took it")
+	case c.isTooLate():
+		return usher.NewRefusal(usher.RefusalLeaving, "no endpoint can end the request before the instance stops").WithRetryAfter(stoppingRetryAfter)
 	case c.overloaded:
 		return usher.NewRefusal(usher.RefusalOverloaded, "every endpoint is full and keeps no less urgent work").WithRetryAfter(overloadedRetryAfter)
 	case c.deadlineUnreachable:
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -36,6 +36,9 @@
 	decision := req.decision()
 	if refusal != nil {
 		refusal = req.correctOutcome(refusal).WithRequestID(req.ID)
+		if refusal.Kind == usher.RefusalLeaving && e.stop.hasBegun() {
+			refusal = refusal.WithRetryAfter(stoppingRetryAfter)
+		}
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
 		decision.Why = refusal.Message
 		req.setCopyHeld(req.companionHolds(nil, refusal))
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -129,7 +129,7 @@
 }
 
 func (e *Entry) caller() wire.Caller {
-	return wire.Caller{Incarnation: e.options.Incarnation, ConfigVersion: e.Config.Current().Version, Peer: e.options.Peer}
+	return wire.Caller{Incarnation: e.options.Incarnation, ConfigVersion: e.Config.Current().Version, Peer: e.options.Peer, StopsIn: e.stop.timeLeft()}
 }
 
 func asRefusal(err error) *usher.Refusal {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -83,6 +83,7 @@
 	crashInquiry       inquiry.Group
 	// server is set by Serve.
 	server atomic.Pointer[drain.Server]
+	stop   *stop
 }
 
 // metrics holds the functions that add to the entry's counters. outcomesResolved
@@ -111,6 +112,7 @@
 		reservationLimiter: rate.NewLimiter(rate.Limit(options.ReservationRate), options.ReservationRate),
 		ids:                record.NewIDSource(options.Incarnation),
 		keySlotViews:       newKeySlotViews(),
+		stop:               newStop(),
 		metrics: metrics{
 			requests:         group.Counter("requests").Add,
 			answered:         group.Counter("answered").Add,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -55,9 +55,9 @@
 	}
 }
 
-// Serve serves callers on listener until ctx is done or the listener fails. Then it
-// stops accepting requests and waits at most grace for those in flight.
-func (e *Entry) Serve(ctx context.Context, listener net.Listener, grace time.Duration) error {
+// Serve serves callers on listener until ctx is done or the listener fails. Then it stops
+// gracefully.
+func (e *Entry) Serve(ctx context.Context, listener net.Listener, times StopTimes) error {
 	server := drain.New(&http.Server{
 		Handler:           trackHandling(e.Handler()),
 		ConnContext:       withConn,
@@ -67,15 +67,7 @@
 	}, func(conn *drain.Conn) net.Conn { return &callerConn{Conn: conn} }, e.options.Connections)
 	e.server.Store(server)
 	// Shutdown makes Serve return at once; it has to be waited for.
-	shutdown := sync.OnceValue(func() error {
-		shutdownCtx, cancel := context.WithTimeout(context.Background(), grace)
-		defer cancel()
-		err := server.Shutdown(shutdownCtx)
-		if err != nil {
-			e.logUnfinished()
-		}
-		return err
-	})
+	shutdown := sync.OnceValue(func() error { return e.shutdown(server, times) })
 	stop := context.AfterFunc(ctx, func() { _ = shutdown() })
 	defer stop()
 	err := server.Serve(listener)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -39,6 +39,9 @@
 	// Peer is the address of the caller's own peer listener, from which the
 	// receiver can fetch a newer configuration.
 	Peer string
+	// StopsIn is how long a caller that stops still waits for its requests, or 0 if it
+	// does not stop. What takes longer is cut.
+	StopsIn time.Duration
 }
 
 // Status is embedded in every reply.
--- a/pkg/usher/ids.go
+++ b/pkg/usher/ids.go
@@ -94,7 +94,9 @@
 	Rank      Rank
 	Key       IdempotencyKey
 	Deadline  time.Time
-	Cost      RequestCost
+	// Entry is the process that the response goes to. Companions set it themselves.
+	Entry Incarnation
+	Cost  RequestCost
 	// Prefix holds one hash for each leading block of the prompt; the hash of
 	// a block covers all blocks before it, so equal hashes mean equal prefixes.
 	Prefix []uint64
--- a/pkg/usher/interfaces.go
+++ b/pkg/usher/interfaces.go
@@ -136,10 +136,20 @@
 	Admit(ctx context.Context, header *RequestHeader) (Slot, error)
 	// TryAdmit admits the request only if it can enter the engine immediately.
 	TryAdmit(header *RequestHeader) (Slot, bool)
+	// EndWork states that the requests of an entry, or all if it is empty, are cut after
+	// that time. Those that can't end before are refused, unless they run already.
+	EndWork(entry Incarnation, left time.Duration)
+	// StopLimit returns how much time a request has before it is cut. It returns false if
+	// no process stops before the deadline of the request.
+	StopLimit(header *RequestHeader) (limit StopLimit, stops bool)
 	// Report returns the current load of the endpoint.
 	Report() LoadReport
 }
 
+// StopLimit is how much time is left before a request is cut by the stop of a process, and
+// how long it is expected to run, or 0 if that is not known.
+type StopLimit struct{ Left, Expected time.Duration }
+
 // Slot is a concurrency slot of the engine, held by one admitted request.
 type Slot interface {
 	// ObserveFirstToken reports the measured time to the first token, and
@@ -149,6 +159,8 @@
 	// ObserveResponse reports the length of a complete response. Callers state only an
 	// upper bound, while cost estimates need actual lengths.
 	ObserveResponse(tokens Tokens)
+	// ObserveDuration reports how long a complete response took that was not streamed.
+	ObserveDuration(elapsed time.Duration)
 	// EnablePreemption declares that the request can release its slot and run again
 	// later. The channel is closed when the slot is requested.
 	EnablePreemption() <-chan struct{}
--- /dev/null
+++ b/test/control/late_begin_test.go
@@ -0,0 +1,252 @@
+package control_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"filbertusher/internal/standin/engine"
+	"filbertusher/internal/standin/fleet"
+	"filbertusher/pkg/usher"
+)
+
+// answer is what a caller got. err is set if its connection ended before the answer did.
+type answer struct {
+	status     int
+	retryAfter string
+	body       string
+	err        error
+}
+
+// outcome summarizes an answer: "whole", "cut", or the error's kind and outcomes with
+// whether it has a Retry-After.
+func (a *answer) outcome() string {
+	switch {
+	case a.err != nil:
+		return "cut"
+	case a.status < http.StatusMultipleChoices && !strings.Contains(a.body, "event: error"):
+		return "whole"
+	}
+	var found struct{ Error usher.Refusal }
+	if json.Unmarshal([]byte(a.body), &found) != nil {
+		return fmt.Sprint(a.status, " ", a.body)
+	}
+	return fmt.Sprintf("%s, outcome %s, attempt %s, Retry-After %v", found.Error.Kind, found.Error.Outcome, found.Error.Attempt, a.retryAfter != "")
+}
+
+const (
+	leavingNotRun    = "leaving, outcome not run, attempt , Retry-After true"
+	failedUnknown    = "endpointFailed, outcome unknown, attempt , Retry-After false"
+	wholeAnswer      = "whole"
+	noReadinessDelay = "0s"
+)
+
+func send(ctx context.Context, url string, body []byte, key string) *answer {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return &answer{err: err}
+	}
+	request.Header.Set("Authorization", "Bearer "+fleet.TokenOf(fleet.Regenfass))
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return &answer{err: err}
+	}
+	defer response.Body.Close()
+	got, err := io.ReadAll(response.Body)
+	return &answer{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), body: string(got), err: err}
+}
+
+// ask sends a question with an answer of some tokens to an entry.
+func ask(ctx context.Context, entry *fleet.Member, prompt string, tokens int, stream bool) <-chan *answer {
+	body, _ := json.Marshal(engine.ChatRequest{
+		Model: string(fleet.Model), MaxTokens: tokens, Stream: stream, Messages: []engine.Message{{Role: "user", Content: prompt}},
+	})
+	answers := make(chan *answer, 1)
+	go func() { answers <- send(ctx, "http://"+entry.Address+"/v1/chat/completions", body, "") }()
+	return answers
+}
+
+// order sends an order with a key to an entry.
+func order(ctx context.Context, entry *fleet.Member, key string) <-chan *answer {
+	answers := make(chan *answer, 1)
+	go func() {
+		answers <- send(ctx, "http://"+entry.Address+"/v1/services/orders/orders", []byte("order "+key), key)
+	}()
+	return answers
+}
+
+// awaitLoad waits until a companion has that many running and waiting requests.
+func awaitLoad(ctx context.Context, t *testing.T, companion *fleet.Member, running, waiting int) {
+	t.Helper()
+	for {
+		found, err := fetchState(ctx, companion)
+		if err == nil && found.Companion.Load.Running == running && found.Companion.Load.Waiting == waiting {
+			return
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("the companion has not come to %d running and %d waiting requests", running, waiting)
+		}
+		time.Sleep(pollDelay)
+	}
+}
+
+func expectOutcome(t *testing.T, what string, answers <-chan *answer, want string) {
+	t.Helper()
+	got := <-answers
+	if diff := cmp.Diff(want, got.outcome()); diff != "" {
+		t.Errorf("%s: %s%+v", what, diff, *got)
+	}
+}
+
+// stoppingPlan is a deployment whose companions run one request at a time, and whose entry
+// stops within the given time.
+func stoppingPlan(engines int, drainTimeout string) fleet.Plan {
+	plan := fleet.Plan{
+		Entries: 1, EntryArgs: []string{"--readiness-delay", noReadinessDelay, "--drain-timeout", drainTimeout},
+		CompanionArgs: []string{"--max-running", "1"},
+	}
+	for range engines {
+		plan.Engines = append(plan.Engines, []string{"--decode-step", "10ms"})
+	}
+	return plan
+}
+
+// TestStoppingEntryBeginsNothingItCannotFinish guards against requests that wait at a
+// companion, are granted late in the stop of their entry and are cut at its end.
+func TestStoppingEntryBeginsNothingItCannotFinish(t *testing.T) {
+	t.Parallel()
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprint("stream=", stream), func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+			defer cancel()
+			cluster := newCluster(ctx, t, stoppingPlan(1, "6s"))
+			entry, companion := cluster.Entries[0], cluster.Companions[0]
+			// The companion learns how long answers take.
+			expectOutcome(t, "before the stop", ask(ctx, entry, "earlier", 100, stream), wholeAnswer)
+			before := dispatched(ctx, t, companion)
+			running := ask(ctx, entry, "running", 250, stream)
+			awaitLoad(ctx, t, companion, 1, 0)
+			long := ask(ctx, entry, "long", 600, stream)
+			awaitLoad(ctx, t, companion, 1, 1)
+			short := ask(ctx, entry, "short", 10, stream)
+			awaitLoad(ctx, t, companion, 1, 2)
+			entry.Signal(syscall.SIGTERM)
+			expectOutcome(t, "running when the stop began", running, wholeAnswer)
+			expectOutcome(t, "too long to begin", long, leavingNotRun)
+			expectOutcome(t, "short enough to begin", short, wholeAnswer)
+			<-entry.Exited()
+			if err := entry.Err(); err != nil {
+				t.Errorf("%v\n%s", err, entry.Log())
+			}
+			if diff := cmp.Diff(before+2, dispatched(ctx, t, companion)); diff != "" {
+				t.Error("requests that were begun:", diff)
+			}
+		})
+	}
+}
+
+// TestStoppingEntryRetriesNothingItCannotFinish guards against retries after the loss of a
+// companion that are cut at the end of the stop.
+func TestStoppingEntryRetriesNothingItCannotFinish(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	cluster := newCluster(ctx, t, stoppingPlan(2, "8s"))
+	entry := cluster.Entries[0]
+	for n := range 2 {
+		earlier := []<-chan *answer{ask(ctx, entry, fmt.Sprint("a", n), 100, false), ask(ctx, entry, fmt.Sprint("b", n), 100, false)}
+		for _, answers := range earlier {
+			expectOutcome(t, "before the stop", answers, wholeAnswer)
+		}
+	}
+	before := []int64{dispatched(ctx, t, cluster.Companions[0]), dispatched(ctx, t, cluster.Companions[1])}
+	if before[0] == 0 || before[1] == 0 {
+		t.Fatal("a companion got no request:", before)
+	}
+	question := ask(ctx, entry, "retried", 600, false)
+	lost, other := 0, 1
+	for dispatched(ctx, t, cluster.Companions[0]) == before[0] {
+		if dispatched(ctx, t, cluster.Companions[1]) > before[1] {
+			lost, other = 1, 0
+			break
+		}
+		time.Sleep(pollDelay)
+	}
+	entry.Signal(syscall.SIGTERM)
+	cluster.Companions[lost].Kill()
+	expectOutcome(t, "retry", question, failedUnknown)
+	if diff := cmp.Diff(before[other], dispatched(ctx, t, cluster.Companions[other])); diff != "" {
+		t.Error("the retry was begun:", diff)
+	}
+}
+
+// TestStoppingEntryBeginsNoOrderItCannotFinish guards against orders that are granted late
+// in the stop of their entry and whose callers get no answer.
+func TestStoppingEntryBeginsNoOrderItCannotFinish(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	plan := stoppingPlan(0, "5s")
+	plan.OrderServices = 1
+	cluster := newCluster(ctx, t, plan)
+	successor, err := cluster.Entry("successor", cluster.Store.Address, fleet.Zone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := successor.AwaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	entry, companion, service := cluster.Entries[0], cluster.Companions[0], cluster.OrderServices[0]
+	if err := service.PutControl(ctx, "delay", "3s"); err != nil {
+		t.Fatal(err)
+	}
+	expectOutcome(t, "before the stop", order(ctx, entry, "earlier"), wholeAnswer)
+	running := order(ctx, entry, "running")
+	awaitLoad(ctx, t, companion, 1, 0)
+	late := order(ctx, entry, "late")
+	awaitLoad(ctx, t, companion, 1, 1)
+	entry.Signal(syscall.SIGTERM)
+	expectOutcome(t, "running when the stop began", running, wholeAnswer)
+	expectOutcome(t, "too long to begin", late, leavingNotRun)
+	expectOutcome(t, "sent again", order(ctx, successor, "late"), wholeAnswer)
+	executions := make(map[string]int)
+	if err := service.GetControl(ctx, "executions", &executions); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(map[string]int{"earlier": 1, "running": 1, "late": 1}, executions); diff != "" {
+		t.Error("executions:", diff)
+	}
+}
+
+// TestWhatWaitsAtTheEndOfAnEntrysStopIsRefused guards against requests without an answer
+// that still wait when the time for a stop is over.
+func TestWhatWaitsAtTheEndOfAnEntrysStopIsRefused(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	cluster := newCluster(ctx, t, stoppingPlan(1, "2s"))
+	entry, companion := cluster.Entries[0], cluster.Companions[0]
+	// No answer was complete yet, so the companion does not know how long they take.
+	running := ask(ctx, entry, "running", 3000, true)
+	awaitLoad(ctx, t, companion, 1, 0)
+	waiting := ask(ctx, entry, "waiting", 3000, true)
+	awaitLoad(ctx, t, companion, 1, 1)
+	entry.Signal(syscall.SIGTERM)
+	expectOutcome(t, "waiting", waiting, leavingNotRun)
+	if got := <-running; got.err == nil {
+		t.Errorf("an answer of 30 s was complete within a stop of 2 s: %+v", *got)
+	}
+}
