Tell callers, log and record what the end of an entry's stop cuts

At the end requests are cancelled with a cause now, and have half a second to answer: a question that ran, an order, or one whose companion does not answer, with 503, leaving, the outcome that is known and Retry-After; a stream with an error event. They get their lines in the record. The exit status stays other than 0, and drainCuts are written as before, with stopArrivedMs and stopSentMs. Lines of requests that end during a stop have both and cutByStop; the event drained ends it with what was taken, refused and cut, and with idle connections that were closed.

TestCallersAreToldWhatTheEndOfAnEntrysStopCuts failed on: the question and the order were cut without a response, the stream without an event, and no line named them.

--- a/internal/entry/accept.go
+++ b/internal/entry/accept.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"filbertusher/internal/config"
@@ -46,6 +47,8 @@
 	// refusalsCoverKey is set when refusals describe every use of the
 	// idempotency key, not just this attempt.
 	refusalsCoverKey bool
+	// sent is when the latest attempt was sent, or nil.
+	sent atomic.Pointer[time.Time]
 	// unknownRefusals holds the refusals of attempts with an unknown outcome.
 	unknownRefusals []*usher.Refusal
 }
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -42,7 +42,7 @@
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
 		decision.Why = refusal.Message
 		req.setCopyHeld(req.companionHolds(nil, refusal))
-		e.recordDecision(decision, req.copies)
+		e.recordDecision(req, decision)
 		writeRefusal(w, refusal)
 		return
 	}
@@ -50,7 +50,7 @@
 	decision.AnswerSHA256 = string(response.Digest())
 	decision.AnswerBytes = int64(len(response.Body))
 	req.setCopyHeld(req.companionHolds(response, nil))
-	e.recordDecision(decision, req.copies)
+	e.recordDecision(req, decision)
 	writeResponse(w, response)
 }
 
@@ -69,7 +69,7 @@
 
 // recordDecision counts, records and logs a decision. It does not use the
 // request's context, so that requests of disconnected callers are recorded too.
-func (e *Entry) recordDecision(decision usher.Decision, copies usher.DecisionCopies) {
+func (e *Entry) recordDecision(req *request, decision usher.Decision) {
 	switch {
 	case decision.Outcome == usher.OutcomeUnknown:
 		e.metrics.unknown(1)
@@ -81,11 +81,11 @@
 	if decision.Refusal == usher.RefusalRecordFull {
 		e.Recorder.CountRefusal(decision.Refusal)
 	} else {
-		e.Recorder.Record(context.Background(), decision, copies)
+		e.Recorder.Record(context.Background(), decision, req.copies)
 	}
 	candidates := formatCandidates(decision.Candidates)
 	e.recentDecisions.add(&decision, candidates)
-	e.Log.Info().
+	line := e.Log.Info().
 		Str("requestId", string(decision.ID)).
 		Str("workspace", string(decision.Workspace)).
 		Str("service", string(decision.Service)).
@@ -96,8 +96,9 @@
 		Str("refusal", string(decision.Refusal)).
 		Str("candidates", candidates).
 		Str("why", decision.Why).
-		Dur("duration", time.Duration(decision.Duration)).
-		Msg("requestEnded")
+		Dur("duration", time.Duration(decision.Duration))
+	e.stop.note(line, req, &decision)
+	line.Msg("requestEnded")
 }
 
 func (r *request) decision() usher.Decision {
@@ -207,5 +208,5 @@
 		decision.AnswerSHA256 = string(out.sum())
 	}
 	req.setCopyHeld(copyHeld)
-	e.recordDecision(decision, req.copies)
+	e.recordDecision(req, decision)
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -40,6 +40,7 @@
 		return
 	}
 	defer permit.Release()
+	e.stop.countArrival()
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
 	res := e.dispatch(ctx, req)
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -31,11 +31,14 @@
 // logUnfinished logs the requests still in flight when the drain timeout
 // expires, before they are aborted.
 func (e *Entry) logUnfinished() {
+	schedule := e.stop.schedule.Load()
 	reported := 0
 	e.inFlight.requests.Range(func(_, value any) bool {
 		req := value.(*request)
-		e.Log.Warn().Str("requestId", string(req.ID)).Str("workspace", string(req.Workspace)).
-			Str("tier", string(req.Tier)).Bool("stream", req.Stream).Msg("drainCuts")
+		line := e.Log.Warn().Str("requestId", string(req.ID)).Str("workspace", string(req.Workspace)).
+			Str("tier", string(req.Tier)).Bool("stream", req.Stream)
+		schedule.addTimes(line, req)
+		line.Msg("drainCuts")
 		reported++
 		return reported < maxReportedRequests
 	})
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -91,7 +91,7 @@
 		return refusalResult(refusal)
 	}
 	req.refusalsCoverKey = true
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline)
+	ctx, cancel := e.stop.detach(ctx, req.Deadline)
 	defer cancel()
 	if ticket.Is(req.Key) {
 		return e.dispatchTicket(ctx, req)
@@ -107,7 +107,7 @@
 			return res
 		}
 	}
-	return refusalResult(search.timeoutRefusal("the holder of the key can't be reached"))
+	return refusalResult(search.timeoutRefusal(contextRefusalKind(ctx), "the holder of the key has not answered"))
 }
 
 func (e *Entry) newHolderSearch(req *request) *holderSearch {
@@ -202,13 +202,13 @@
 	}
 }
 
-// timeoutRefusal returns the refusal of a request that no companion took before
-// its deadline. The outcome is unknown if a message was lost.
-func (s *holderSearch) timeoutRefusal(message string) *usher.Refusal {
+// timeoutRefusal returns the refusal of a request that no companion answered before
+// its deadline or the end of a stop. The outcome is unknown if a message was lost.
+func (s *holderSearch) timeoutRefusal(kind usher.RefusalKind, message string) *usher.Refusal {
 	if s.messageLost {
-		return usher.NewUnknownOutcome(usher.RefusalDeadlineExceeded, message)
+		return usher.NewUnknownOutcome(kind, message)
 	}
-	return usher.NewAttemptRefusal(usher.RefusalDeadlineExceeded, message)
+	return usher.NewAttemptRefusal(kind, message)
 }
 
 // submitKeyed sends a request that may run only once to one companion. If the
@@ -217,7 +217,7 @@
 func (e *Entry) submitKeyed(ctx context.Context, req *request, peer *peer, view wire.KeySlotView) (*wire.SubmitReply, *incomingStream, error) {
 	req.Attempt++
 	req.endpoint = peer.endpoint
-	callCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), req.Deadline.Add(keyedReplyGrace))
+	callCtx, cancel := e.stop.detach(ctx, req.Deadline.Add(keyedReplyGrace))
 	defer cancel()
 	stream := peer.openStream(req)
 	args := &wire.SubmitArgs{
@@ -269,8 +269,12 @@
 		}
 		pause.For(ctx, keyedRetryDelay)
 	}
+	kind := usher.RefusalEndpointFailed
+	if stopping := contextRefusalKind(ctx); stopping == usher.RefusalLeaving {
+		kind = stopping
+	}
 	if messageLost {
-		return refusalResult(usher.NewUnknownOutcome(usher.RefusalEndpointFailed, "the companion of the ticket can't be reached"))
+		return refusalResult(usher.NewUnknownOutcome(kind, "the companion of the ticket can't be reached"))
 	}
-	return refusalResult(usher.NewAttemptRefusal(usher.RefusalEndpointFailed, "the companion of the ticket can't be reached"))
+	return refusalResult(usher.NewAttemptRefusal(kind, "the companion of the ticket can't be reached"))
 }
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -112,8 +112,13 @@
 }
 
 func contextRefusalKind(ctx context.Context) usher.RefusalKind {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	stopping := new(StoppingError)
+	switch {
+	case errors.As(context.Cause(ctx), &stopping):
+		return usher.RefusalLeaving
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return usher.RefusalDeadlineExceeded
+	default:
+		return usher.RefusalCancelled
 	}
-	return usher.RefusalCancelled
 }
--- a/internal/entry/record.go
+++ b/internal/entry/record.go
@@ -43,11 +43,13 @@
 	return recorded
 }
 
-// noteOffer adds the endpoint to those whose companions may hold a copy of the
+// noteOffer notes the time of an offer and adds the endpoint to those whose companions may hold a copy of the
 // decision. An endpoint that gets the request again moves to the end of the
 // list.
 func (r *request) noteOffer(endpoint usher.EndpointName) {
 	r.reply = nil
+	now := time.Now()
+	r.sent.Store(&now)
 	for i, earlier := range r.copies.Holders {
 		if earlier == endpoint {
 			r.copies.Holders = append(r.copies.Holders[:i], r.copies.Holders[i+1:]...)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -60,6 +60,7 @@
 func (e *Entry) Serve(ctx context.Context, listener net.Listener, times StopTimes) error {
 	server := drain.New(&http.Server{
 		Handler:           trackHandling(e.Handler()),
+		BaseContext:       func(net.Listener) context.Context { return e.stop.requests },
 		ConnContext:       withConn,
 		ReadHeaderTimeout: e.options.BodyTimeout,
 		IdleTimeout:       idleTimeout,
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -5,14 +5,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"filbertusher/internal/drain"
 	"filbertusher/internal/wire"
+	"filbertusher/pkg/usher"
 )
 
 const (
 	// stopReplyMargin is how long before the end of a stop companions refuse what still
 	// waits, so that the refusal reaches the caller.
 	stopReplyMargin = 200 * time.Millisecond
+	// cutAnswerTimeout is how long requests that are cut have to tell their callers.
+	cutAnswerTimeout = 500 * time.Millisecond
 	// announceTimeout bounds a message that tells a companion of the stop. One that is lost
 	// is made up for by the next Collect.
 	announceTimeout = time.Second
@@ -27,14 +32,31 @@
 	Grace time.Duration
 }
 
+// StoppingError is the cause with which requests are cancelled that still run at the end of
+// a stop.
+type StoppingError struct{}
+
+// Error implements error.
+func (*StoppingError) Error() string { return "the instance has stopped" }
+
 // stop is the state of a graceful stop. schedule is nil before it.
 type stop struct {
 	schedule atomic.Pointer[stopSchedule]
+	// requests ends when the requests in flight are cut.
+	requests context.Context
+	cut      context.CancelCauseFunc
+	// taken counts the requests that arrived during the stop and were accepted, refused
+	// those that were refused because of it, and cutCount those that were cut.
+	taken, refused, cutCount atomic.Int64
 }
 
-type stopSchedule struct{ ends time.Time }
+type stopSchedule struct{ began, ends time.Time }
 
-func newStop() *stop { return &stop{} }
+func newStop() *stop {
+	s := &stop{}
+	s.requests, s.cut = context.WithCancelCause(context.Background())
+	return s
+}
 
 // timeLeft returns what companions are told: how long a request may take, or 0 before a
 // stop.
@@ -48,11 +70,58 @@
 
 func (s *stop) hasBegun() bool { return s.schedule.Load() != nil }
 
-// shutdown stops server gracefully.
+func (s *stop) countArrival() {
+	if s.hasBegun() {
+		s.taken.Add(1)
+	}
+}
+
+// detach returns a context that outlives the caller, until the deadline or until requests
+// are cut.
+func (s *stop) detach(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cut := context.WithCancelCause(context.WithoutCancel(ctx))
+	release := context.AfterFunc(s.requests, func() { cut(context.Cause(s.requests)) })
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	return ctx, func() {
+		release()
+		cancel()
+		cut(nil)
+	}
+}
+
+// note counts a refusal during the stop and adds to a log line what tells a request that
+// began late from one with a long answer.
+func (s *stop) note(line *zerolog.Event, req *request, decision *usher.Decision) {
+	schedule := s.schedule.Load()
+	if schedule == nil {
+		return
+	}
+	isCut := decision.Refusal == usher.RefusalLeaving && decision.Outcome != usher.OutcomeNotRun && s.requests.Err() != nil
+	switch {
+	case isCut:
+		s.cutCount.Add(1)
+	case decision.Refusal == usher.RefusalLeaving:
+		s.refused.Add(1)
+	}
+	schedule.addTimes(line, req)
+	line.Bool("cutByStop", isCut)
+}
+
+// addTimes adds when a request arrived and when its latest attempt was sent, both after the
+// beginning of the stop.
+func (s *stopSchedule) addTimes(line *zerolog.Event, req *request) {
+	line.Int64("stopArrivedMs", req.started.Sub(s.began).Milliseconds())
+	if sent := req.sent.Load(); sent != nil {
+		line.Int64("stopSentMs", sent.Sub(s.began).Milliseconds())
+	}
+}
+
+// shutdown stops server gracefully. Requests that still run at the end are told to their
+// callers as cut.
 func (e *Entry) shutdown(server *drain.Server, times StopTimes) error {
 	began := time.Now()
 	ends := began.Add(times.ReadinessDelay + times.Grace)
-	e.stop.schedule.Store(&stopSchedule{ends: ends})
+	e.stop.schedule.Store(&stopSchedule{began: began, ends: ends})
 	server.StartDraining(drain.Stop{Began: began, TakesUntil: began.Add(times.ReadinessDelay + drain.AcceptTime)})
 	e.announceStop()
 	time.Sleep(times.ReadinessDelay)
@@ -61,10 +130,24 @@
 	err := server.Shutdown(ctx)
 	if err != nil {
 		e.logUnfinished()
+		e.stop.cut(&StoppingError{})
+		e.awaitCut(server)
 	}
+	open, closedIdle := server.Connections()
+	e.Log.Info().Int64("taken", e.stop.taken.Load()).Int64("refused", e.stop.refused.Load()).Int64("cut", e.stop.cutCount.Load()).
+		Int64("closedIdle", closedIdle).Int("open", open).Int64("tookMs", time.Since(began).Milliseconds()).Msg("drained")
 	return err
 }
 
+// awaitCut waits until the requests that were cut have got their responses.
+func (e *Entry) awaitCut(server *drain.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), cutAnswerTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		e.Log.Warn().Err(err).Msg("responsesCut")
+	}
+}
+
 // announceStop tells the companions until when this process waits for its requests, so that
 // they begin nothing that takes longer.
 func (e *Entry) announceStop() {
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -54,7 +54,7 @@
 	req.Key = response.Ticket
 	decision := req.decision()
 	decision.Outcome, decision.Status = usher.OutcomeRan, http.StatusCreated
-	e.recordDecision(decision, req.copies)
+	e.recordDecision(req, decision)
 	writeJSON(w, http.StatusCreated, response)
 }
 
--- a/test/control/late_begin_test.go
+++ b/test/control/late_begin_test.go
@@ -44,6 +44,7 @@
 }
 
 const (
+	leavingUnknown   = "leaving, outcome unknown, attempt , Retry-After true"
 	leavingNotRun    = "leaving, outcome not run, attempt , Retry-After true"
 	failedUnknown    = "endpointFailed, outcome unknown, attempt , Retry-After false"
 	wholeAnswer      = "whole"
@@ -250,3 +251,41 @@
 		t.Errorf("an answer of 30 s was complete within a stop of 2 s: %+v", *got)
 	}
 }
+
+// TestCallersAreToldWhatTheEndOfAnEntrysStopCuts guards against requests whose callers learn
+// nothing, and that the record lacks, because the end of a stop cuts their connections.
+func TestCallersAreToldWhatTheEndOfAnEntrysStopCuts(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	plan := stoppingPlan(1, "1s")
+	plan.OrderServices, plan.CompanionArgs = 1, nil
+	cluster := newCluster(ctx, t, plan)
+	entry := cluster.Entries[0]
+	if err := cluster.OrderServices[0].PutControl(ctx, "delay", "10s"); err != nil {
+		t.Fatal(err)
+	}
+	question := ask(ctx, entry, "question", 3000, false)
+	stream := ask(ctx, entry, "stream", 3000, true)
+	placed := order(ctx, entry, "order")
+	for i, running := range []int{2, 1} {
+		awaitLoad(ctx, t, cluster.Companions[i], running, 0)
+	}
+	entry.Signal(syscall.SIGTERM)
+	expectOutcome(t, "question", question, leavingUnknown)
+	expectOutcome(t, "order", placed, leavingUnknown)
+	got := <-stream
+	if _, message, found := strings.Cut(got.body, "event: error\ndata: "); got.err == nil || !found || !strings.Contains(message, string(usher.RefusalLeaving)) {
+		t.Errorf("stream: %v, its last bytes: %s", got.err, got.body[max(0, len(got.body)-300):])
+	}
+	<-entry.Exited()
+	if entry.Err() == nil {
+		t.Error("the exit status does not say that requests were cut")
+	}
+	if _, err := entry.Await(ctx, "drained", "cut=3"); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff(3, strings.Count(entry.Log(), "cutByStop=true")); diff != "" {
+		t.Errorf("lines about requests that were cut: %s\n%s", diff, entry.Log())
+	}
+}
