--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -37,7 +37,7 @@
 		req := value.(*request)
 		line := e.Log.Warn().Str("requestId", string(req.ID)).Str("workspace", string(req.Workspace)).
 			Str("tier", string(req.Tier)).Bool("stream", req.Stream)
-		schedule.addTimes(line, req)
+		addStopTimes(line, schedule, req)
 		line.Msg("drainCuts")
 		reported++
 		return reported < maxReportedRequests
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -41,7 +41,7 @@
 
 // stop is the state of a graceful stop. schedule is nil before it.
 type stop struct {
-	schedule atomic.Pointer[stopSchedule]
+	schedule atomic.Pointer[drain.Stop]
 	// requests ends when the requests in flight are cut.
 	requests context.Context
 	cut      context.CancelCauseFunc
@@ -50,8 +50,6 @@
 	taken, refused, cutCount atomic.Int64
 }
 
-type stopSchedule struct{ began, ends time.Time }
-
 func newStop() *stop {
 	s := &stop{}
 	s.requests, s.cut = context.WithCancelCause(context.Background())
@@ -65,7 +63,7 @@
 	if schedule == nil {
 		return 0
 	}
-	return max(time.Until(schedule.ends.Add(-stopReplyMargin)), 1)
+	return max(time.Until(schedule.EndsAt.Add(-stopReplyMargin)), 1)
 }
 
 func (s *stop) hasBegun() bool { return s.schedule.Load() != nil }
@@ -103,16 +101,16 @@
 	case decision.Refusal == usher.RefusalLeaving:
 		s.refused.Add(1)
 	}
-	schedule.addTimes(line, req)
+	addStopTimes(line, schedule, req)
 	line.Bool("cutByStop", isCut)
 }
 
-// addTimes adds when a request arrived and when its latest attempt was sent, both after the
-// beginning of the stop.
-func (s *stopSchedule) addTimes(line *zerolog.Event, req *request) {
-	line.Int64("stopArrivedMs", req.started.Sub(s.began).Milliseconds())
+// addStopTimes adds when a request arrived and when its latest attempt was sent, both after
+// the beginning of the stop.
+func addStopTimes(line *zerolog.Event, schedule *drain.Stop, req *request) {
+	line.Int64("stopArrivedMs", req.started.Sub(schedule.Began).Milliseconds())
 	if sent := req.sent.Load(); sent != nil {
-		line.Int64("stopSentMs", sent.Sub(s.began).Milliseconds())
+		line.Int64("stopSentMs", sent.Sub(schedule.Began).Milliseconds())
 	}
 }
 
@@ -120,12 +118,16 @@
 // callers as cut.
 func (e *Entry) shutdown(server *drain.Server, times StopTimes) error {
 	began := time.Now()
-	ends := began.Add(times.ReadinessDelay + times.Grace)
-	e.stop.schedule.Store(&stopSchedule{began: began, ends: ends})
-	server.StartDraining(drain.Stop{Began: began, TakesUntil: began.Add(times.ReadinessDelay + drain.AcceptTime)})
+	schedule := &drain.Stop{
+		Began:      began,
+		TakesUntil: began.Add(times.ReadinessDelay + drain.AcceptTime),
+		EndsAt:     began.Add(times.ReadinessDelay + times.Grace),
+	}
+	server.StartDraining(*schedule)
+	e.stop.schedule.Store(schedule)
 	e.announceStop()
 	time.Sleep(times.ReadinessDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	ctx, cancel := context.WithDeadline(context.Background(), schedule.EndsAt)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if err != nil {
