Begin nothing late in the stop of a companion

The companion's admission is told its own end like that of an entry. What can't end by then, by what recent requests took, is handed back as not run and may be offered elsewhere.

A stop ends with the event drained: what was in flight, handed back, refused and cut.

TestStoppingCompanionBeginsNothingItCannotFinish fails without the call of EndWork: the request that had to run alone was begun, with less time left than the one before it had taken.

--- a/internal/companion/drain.go
+++ b/internal/companion/drain.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -24,7 +26,12 @@
 	mu       sync.Mutex
 	inFlight int
 	draining bool
-	idle     chan struct{}
+	// began is when draining started, and running how many requests were in flight then.
+	// handedBack counts those of them that were queued, and refused later requests.
+	began               time.Time
+	running             int
+	handedBack, refused int
+	idle                chan struct{}
 	// started is closed when draining starts. Requests that are still queued are
 	// then returned to the entries.
 	started chan struct{}
@@ -52,6 +59,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.draining {
+		d.refused++
 		return false
 	}
 	d.inFlight++
@@ -75,6 +83,7 @@
 	defer d.mu.Unlock()
 	if !d.draining {
 		d.draining = true
+		d.began, d.running, d.handedBack, d.refused = time.Now(), d.inFlight, 0, 0
 		close(d.started)
 	}
 	idle := d.idle
@@ -95,6 +104,21 @@
 	}
 }
 
+// handBack counts a queued request that is returned to its entry.
+func (d *drain) handBack() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.handedBack++
+}
+
+// log writes what became of the requests since draining started.
+func (d *drain) log(log zerolog.Logger) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	log.Info().Int("running", d.running).Int("handedBack", d.handedBack).Int("refused", d.refused).Int("cut", d.inFlight).
+		Int64("tookMs", time.Since(d.began).Milliseconds()).Msg("drained")
+}
+
 // contextUntilDrain returns a context that also ends when draining starts.
 func (d *drain) contextUntilDrain(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -164,7 +188,11 @@
 // remain when ctx ends are logged before they are cut off.
 func (c *Companion) Drain(ctx context.Context) error {
 	c.stopping.Store(true)
+	if end, ok := ctx.Deadline(); ok {
+		c.Admission.EndWork("", time.Until(end))
+	}
 	idle := c.drain.start()
+	defer c.drain.log(c.Log)
 	c.queues.interruptCollects()
 	c.releaseKeySlots(ctx)
 	select {
--- a/internal/companion/drain_test.go
+++ b/internal/companion/drain_test.go
@@ -56,6 +56,11 @@
 }
 
 func newFixtureWith(t *testing.T, backend usher.Backend) *fixture {
+	t.Helper()
+	return newFixtureWithAdmission(t, backend, admission.Options{MaxRunning: 1, MaxWaiting: 9})
+}
+
+func newFixtureWithAdmission(t *testing.T, backend usher.Backend, options admission.Options) *fixture {
 	t.Helper()
 	f := &fixture{holder: config.NewHolder()}
 	f.Companion = companion.New(companion.Options{
@@ -63,7 +68,7 @@
 	}, companion.Dependencies{
 		// The journal holds no key slot, so it needs neither a store nor a prober.
 		Journal: journal.NewSlotTable(journal.Options{}, nil, nil), Suspects: suspect.NewTable(), Blame: blame.New(time.Now, func(blame.Trait, int) {}),
-		Config: f.holder, Backend: backend, Admission: admission.New("e", admission.Options{MaxRunning: 1, MaxWaiting: 9}),
+		Config: f.holder, Backend: backend, Admission: admission.New("e", options),
 		Ledger: ledger.New(time.Minute), Fence: func() usher.FencingToken { return 1 }, RecordReplica: unboundedReplica{}, Log: zerolog.Nop(),
 	})
 	f.rpc = companion.NewRPC(f.Companion)
@@ -148,3 +153,50 @@
 		t.Errorf("after the departure was cancelled: %+v", reply)
 	}
 }
+
+// Guards against requests that were admitted before a companion stops, are sent to the
+// endpoint late and are cut at the end of the stop: one that runs alone had to wait for
+// another one.
+func TestStoppingCompanionBeginsNothingItCannotFinish(t *testing.T) {
+	backend := &blockingBackend{started: make(chan struct{}, 9), release: make(chan struct{})}
+	f := newFixtureWithAdmission(t, backend, admission.Options{MaxRunning: 2, MaxWaiting: 9, FixedLimit: true})
+	const duration, grace = 1200 * time.Millisecond, time.Second
+	finish := func() { backend.release <- struct{}{} }
+	earlier := f.submit("earlier")
+	<-backend.started
+	time.AfterFunc(duration, finish)
+	if reply := <-earlier; reply.State != wire.StateAnswered {
+		t.Fatalf("%+v", reply)
+	}
+	running := f.submit("running")
+	<-backend.started
+	alone := make(chan wire.SubmitReply, 1)
+	go func() {
+		var reply wire.SubmitReply
+		args := &wire.SubmitArgs{Header: usher.RequestHeader{ID: "alone", Attempt: 1, ProbesCrash: true}, Remaining: time.Minute, MayWait: true}
+		_ = f.rpc.Submit(args, &reply)
+		alone <- reply
+	}()
+	f.awaitLoad(t, func(load usher.LoadReport) bool { return load.Running == 2 })
+	ctx, cancel := context.WithTimeout(t.Context(), grace)
+	defer cancel()
+	drained := make(chan error, 1)
+	go func() { drained <- f.Drain(ctx) }()
+	f.awaitLoad(t, func(load usher.LoadReport) bool { return load.Leaving })
+	finish()
+	if reply := <-running; reply.State != wire.StateAnswered {
+		t.Errorf("running request: %+v", reply)
+	}
+	select {
+	case reply := <-alone:
+		if diff := cmp.Diff([2]string{string(usher.RefusalLeaving), string(usher.OutcomeNotRun)}, refusal(reply)); diff != "" {
+			t.Error("request that had to run alone:", diff)
+		}
+	case <-backend.started:
+		t.Error("the request was begun")
+		finish()
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/companion/execution.go
+++ b/internal/companion/execution.go
@@ -62,6 +62,7 @@
 	slot, err := c.Admission.Admit(admitCtx, &e.request.Header)
 	if err != nil && admitCtx.Err() != nil && ctx.Err() == nil {
 		// The request was only queued, so another endpoint can still run it.
+		c.drain.handBack()
 		return nil, usher.NewRefusal(usher.RefusalLeaving, "the endpoint is leaving")
 	}
 	if err != nil {
