End reservations when the endpoint leaves

A reservation that waited at an endpoint when that began to leave stayed there, and was granted when a slot became free. The entry then took the request back from the endpoint where it waited, offered it with the grant, was refused because the endpoint leaves, and began to look for another one: the request had lost its place, late in a stop for good.

Requests that wait at a leaving endpoint are handed back at once; reservations are now too, and a grant that coincides with the beginning of the stop is released.

TestLeavingEndsReservations failed before: the reservation got grant 1.

--- a/internal/companion/drain_test.go
+++ b/internal/companion/drain_test.go
@@ -200,3 +200,28 @@
 		t.Error(err)
 	}
 }
+
+// Guards against reservations that a leaving endpoint grants: the entry takes its request
+// back from another endpoint for them, and is refused.
+func TestLeavingEndsReservations(t *testing.T) {
+	f := newFixture(t)
+	running := f.submit("running")
+	<-f.backend.started
+	reserved := make(chan wire.ReserveReply, 1)
+	go func() {
+		var reply wire.ReserveReply
+		_ = f.rpc.Reserve(&wire.ReserveArgs{Header: usher.RequestHeader{ID: "reserved"}, Remaining: time.Minute}, &reply)
+		reserved <- reply
+	}()
+	f.awaitLoad(t, func(load usher.LoadReport) bool { return load.Waiting == 1 })
+	f.applyEndpoint(t, 2, true)
+	f.awaitLoad(t, func(load usher.LoadReport) bool { return load.Leaving })
+	close(f.backend.release)
+	reply := <-reserved
+	if diff := cmp.Diff(usher.NewRefusal(usher.RefusalLeaving, "the endpoint is leaving"), reply.Refusal); diff != "" || reply.Grant != 0 {
+		t.Errorf("reservation: grant %d, %s", reply.Grant, diff)
+	}
+	if reply := <-running; reply.State != wire.StateAnswered {
+		t.Errorf("running request: %+v", reply)
+	}
+}
--- a/internal/companion/reserve.go
+++ b/internal/companion/reserve.go
@@ -120,7 +120,15 @@
 	if !ok {
 		return c.notGranted(usher.NewRefusal(usher.RefusalCancelled, "the request has a reservation already"))
 	}
-	slot, err := c.Admission.Admit(ctx, &header)
+	admitCtx, stop := c.drain.contextUntilDrain(ctx)
+	defer stop()
+	slot, err := c.Admission.Admit(admitCtx, &header)
+	if c.drain.isDraining() && ctx.Err() == nil {
+		if err == nil {
+			slot.Release()
+		}
+		err = usher.NewRefusal(usher.RefusalLeaving, "the endpoint is leaving")
+	}
 	if err != nil {
 		c.reservations.end(header.ID, opened)
 		return c.notGranted(toRefusal(err, usher.OutcomeNotRun))
