Test reservations and orders without a holder at the end of an entry's stop

Both failed on: a request got the slot that it had reserved at another companion late in a stop of 6 s, was begun there and cut; an order whose holder could not be reached was cut without an answer although it had not run.

--- a/test/control/late_begin_test.go
+++ b/test/control/late_begin_test.go
@@ -45,6 +45,7 @@
 
 const (
 	leavingUnknown   = "leaving, outcome unknown, attempt , Retry-After true"
+	leavingNotTried  = "leaving, outcome unknown, attempt not run, Retry-After true"
 	leavingNotRun    = "leaving, outcome not run, attempt , Retry-After true"
 	failedUnknown    = "endpointFailed, outcome unknown, attempt , Retry-After false"
 	wholeAnswer      = "whole"
@@ -111,6 +112,27 @@
 	}
 }
 
+// learnDurations lets each companion learn how long answers take.
+func learnDurations(ctx context.Context, t *testing.T, cluster *fleet.Deployment) {
+	t.Helper()
+	for round := 0; ; round++ {
+		isComplete := true
+		for _, companion := range cluster.Companions {
+			isComplete = isComplete && dispatched(ctx, t, companion) > 0
+		}
+		if isComplete {
+			return
+		}
+		var earlier []<-chan *answer
+		for n := range cluster.Companions {
+			earlier = append(earlier, ask(ctx, cluster.Entries[0], fmt.Sprint("earlier ", round, " ", n), 100, false))
+		}
+		for _, answers := range earlier {
+			expectOutcome(t, "before the stop", answers, wholeAnswer)
+		}
+	}
+}
+
 // stoppingPlan is a deployment whose companions run one request at a time, and whose entry
 // stops within the given time.
 func stoppingPlan(engines int, drainTimeout string) fleet.Plan {
@@ -159,6 +181,37 @@
 	}
 }
 
+// TestStoppingEntryUsesNoLateReservation guards against requests that wait at one companion,
+// get the slot that they have reserved at another one late in the stop, and are cut.
+func TestStoppingEntryUsesNoLateReservation(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	cluster := newCluster(ctx, t, stoppingPlan(2, "6s"))
+	entry := cluster.Entries[0]
+	begun := func() int64 {
+		return dispatched(ctx, t, cluster.Companions[0]) + dispatched(ctx, t, cluster.Companions[1])
+	}
+	learnDurations(ctx, t, cluster)
+	running := []<-chan *answer{ask(ctx, entry, "running 0", 250, true), ask(ctx, entry, "running 1", 250, true)}
+	for _, companion := range cluster.Companions {
+		awaitLoad(ctx, t, companion, 1, 0)
+	}
+	before := begun()
+	long := ask(ctx, entry, "long", 600, false)
+	for _, companion := range cluster.Companions {
+		awaitLoad(ctx, t, companion, 1, 1)
+	}
+	entry.Signal(syscall.SIGTERM)
+	for _, answers := range running {
+		expectOutcome(t, "running when the stop began", answers, wholeAnswer)
+	}
+	expectOutcome(t, "too long to begin", long, leavingNotRun)
+	if diff := cmp.Diff(before, begun()); diff != "" {
+		t.Error("requests that were begun:", diff)
+	}
+}
+
 // TestStoppingEntryRetriesNothingItCannotFinish guards against retries after the loss of a
 // companion that are cut at the end of the stop.
 func TestStoppingEntryRetriesNothingItCannotFinish(t *testing.T) {
@@ -167,16 +220,8 @@
 	defer cancel()
 	cluster := newCluster(ctx, t, stoppingPlan(2, "8s"))
 	entry := cluster.Entries[0]
-	for n := range 2 {
-		earlier := []<-chan *answer{ask(ctx, entry, fmt.Sprint("a", n), 100, false), ask(ctx, entry, fmt.Sprint("b", n), 100, false)}
-		for _, answers := range earlier {
-			expectOutcome(t, "before the stop", answers, wholeAnswer)
-		}
-	}
+	learnDurations(ctx, t, cluster)
 	before := []int64{dispatched(ctx, t, cluster.Companions[0]), dispatched(ctx, t, cluster.Companions[1])}
-	if before[0] == 0 || before[1] == 0 {
-		t.Fatal("a companion got no request:", before)
-	}
 	question := ask(ctx, entry, "retried", 600, false)
 	lost, other := 0, 1
 	for dispatched(ctx, t, cluster.Companions[0]) == before[0] {
@@ -289,3 +334,35 @@
 		t.Errorf("lines about requests that were cut: %s\n%s", diff, entry.Log())
 	}
 }
+
+// TestOrderWithoutHolderIsRefusedAtTheEndOfAnEntrysStop guards against orders whose holder
+// can't be reached and that are cut without an answer although they have not run.
+func TestOrderWithoutHolderIsRefusedAtTheEndOfAnEntrysStop(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	plan := stoppingPlan(0, "2s")
+	plan.OrderServices = 1
+	cluster := newCluster(ctx, t, plan)
+	entry := cluster.Entries[0]
+	cluster.Companions[0].Kill()
+	if _, err := entry.Await(ctx, "peerUnreached"); err != nil {
+		t.Fatal(err)
+	}
+	placed := order(ctx, entry, "order")
+	for inFlight(ctx, t, entry) != 1 {
+		time.Sleep(pollDelay)
+	}
+	entry.Signal(syscall.SIGTERM)
+	expectOutcome(t, "order", placed, leavingNotTried)
+}
+
+// inFlight returns how many requests an entry has in flight.
+func inFlight(ctx context.Context, t *testing.T, entry *fleet.Member) int {
+	t.Helper()
+	var dump struct{ Entry struct{ InFlight int } }
+	if err := entry.Dump(ctx, &dump); err != nil {
+		t.Fatal(err)
+	}
+	return dump.Entry.InFlight
+}
