Test that refusals come in time at the end of an entry's stop

What waits is refused early enough for its caller and for a clean exit: the slots belong to another entry now, so that the entry that stops has nothing to cut, and an order waits besides the stream. A reservation is refused while the slots are still taken.

--- a/test/control/late_begin_test.go
+++ b/test/control/late_begin_test.go
@@ -203,10 +203,13 @@
 		awaitLoad(ctx, t, companion, 1, 1)
 	}
 	entry.Signal(syscall.SIGTERM)
+	expectOutcome(t, "too long to begin", long, leavingNotRun)
+	if len(running[0])+len(running[1]) > 0 {
+		t.Error("the request was refused only after one before it had ended")
+	}
 	for _, answers := range running {
 		expectOutcome(t, "running when the stop began", answers, wholeAnswer)
 	}
-	expectOutcome(t, "too long to begin", long, leavingNotRun)
 	if diff := cmp.Diff(before, begun()); diff != "" {
 		t.Error("requests that were begun:", diff)
 	}
@@ -283,17 +286,28 @@
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	defer cancel()
-	cluster := newCluster(ctx, t, stoppingPlan(1, "2s"))
-	entry, companion := cluster.Entries[0], cluster.Companions[0]
-	// No answer was complete yet, so the companion does not know how long they take.
-	running := ask(ctx, entry, "running", 3000, true)
-	awaitLoad(ctx, t, companion, 1, 0)
+	plan := stoppingPlan(1, "2s")
+	plan.Entries, plan.OrderServices = 2, 1
+	cluster := newCluster(ctx, t, plan)
+	entry, other := cluster.Entries[0], cluster.Entries[1]
+	if err := cluster.OrderServices[0].PutControl(ctx, "delay", "1m"); err != nil {
+		t.Fatal(err)
+	}
+	// No answer was complete yet, so the companions do not know how long they take.
+	ask(ctx, other, "running", 6000, true)
+	awaitLoad(ctx, t, cluster.Companions[0], 1, 0)
 	waiting := ask(ctx, entry, "waiting", 3000, true)
-	awaitLoad(ctx, t, companion, 1, 1)
+	awaitLoad(ctx, t, cluster.Companions[0], 1, 1)
+	order(ctx, other, "running")
+	awaitLoad(ctx, t, cluster.Companions[1], 1, 0)
+	waitingOrder := order(ctx, entry, "waiting")
+	awaitLoad(ctx, t, cluster.Companions[1], 1, 1)
 	entry.Signal(syscall.SIGTERM)
 	expectOutcome(t, "waiting", waiting, leavingNotRun)
-	if got := <-running; got.err == nil {
-		t.Errorf("an answer of 30 s was complete within a stop of 2 s: %+v", *got)
+	expectOutcome(t, "waiting order", waitingOrder, leavingNotRun)
+	<-entry.Exited()
+	if err := entry.Err(); err != nil {
+		t.Errorf("%v\n%s", err, entry.Log())
 	}
 }
 
