Send callers back only when the stop of an entry has been noticed

A caller that was refused because its entry stops was told to come back after a second.

Retry-After lasts until the delay is over, and a second at least.

--- a/internal/entry/candidates.go
+++ b/internal/entry/candidates.go
@@ -19,8 +19,8 @@
 	connectRetryDelay = 50 * time.Millisecond
 	// overloadedRetryAfter is the Retry-After of requests shed by overload.
 	overloadedRetryAfter = time.Second
-	// stoppingRetryAfter is the Retry-After of requests that come too late during a stop.
-	// A retry reaches another instance.
+	// stoppingRetryAfter is the least Retry-After of requests that come too late during a
+	// stop.
 	stoppingRetryAfter = time.Second
 )
 
@@ -164,7 +164,7 @@
 	case ctx.Err() != nil:
 		return usher.NewRefusal(contextRefusalKind(ctx), "the request ended before an endpoint took it")
 	case c.isTooLate():
-		return usher.NewRefusal(usher.RefusalLeaving, "no endpoint can end the request before the instance stops").WithRetryAfter(stoppingRetryAfter)
+		return usher.NewRefusal(usher.RefusalLeaving, "no endpoint can end the request before the instance stops")
 	case c.overloaded:
 		return usher.NewRefusal(usher.RefusalOverloaded, "every endpoint is full and keeps no less urgent work").WithRetryAfter(overloadedRetryAfter)
 	case c.deadlineUnreachable:
--- a/internal/entry/deliver.go
+++ b/internal/entry/deliver.go
@@ -37,7 +37,7 @@
 	if refusal != nil {
 		refusal = req.correctOutcome(refusal).WithRequestID(req.ID)
 		if refusal.Kind == usher.RefusalLeaving && e.stop.hasBegun() {
-			refusal = refusal.WithRetryAfter(stoppingRetryAfter)
+			refusal = refusal.WithRetryAfter(e.stop.retryAfter())
 		}
 		decision.Outcome, decision.Refusal = refusal.Outcome, refusal.Kind
 		decision.Why = refusal.Message
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -26,7 +26,7 @@
 	e.metrics.requests(1)
 	defer e.inFlight.add(req)()
 	if e.isTooLate(req.Deadline) {
-		e.respond(w, req, nil, usher.NewRefusal(usher.RefusalLeaving, "the instance is stopping").WithRetryAfter(stoppingRetryAfter))
+		e.respond(w, req, nil, usher.NewRefusal(usher.RefusalLeaving, "the instance is stopping"))
 		return
 	}
 	if err := e.Recorder.CheckCapacity(req.Rank); err != nil {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -68,6 +68,16 @@
 
 func (s *stop) hasBegun() bool { return s.schedule.Load() != nil }
 
+// retryAfter returns the Retry-After of requests that are refused because of the stop. By
+// then the load balancer has noticed it, and a retry reaches another instance.
+func (s *stop) retryAfter() time.Duration {
+	schedule := s.schedule.Load()
+	if schedule == nil {
+		return stoppingRetryAfter
+	}
+	return max(stoppingRetryAfter, time.Until(schedule.NoticedBy))
+}
+
 func (s *stop) countArrival() {
 	if s.hasBegun() {
 		s.taken.Add(1)
@@ -120,11 +130,12 @@
 	began := time.Now()
 	schedule := &drain.Stop{
 		Began:      began,
+		NoticedBy:  began.Add(times.ReadinessDelay),
 		TakesUntil: began.Add(times.ReadinessDelay + drain.AcceptTime),
 		EndsAt:     began.Add(times.ReadinessDelay + times.Grace),
 	}
-	server.StartDraining(*schedule)
 	e.stop.schedule.Store(schedule)
+	server.StartDraining(*schedule)
 	e.announceStop()
 	time.Sleep(times.ReadinessDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), schedule.EndsAt)
