Keep a leaving that is stated while the registration is gone

Requests went to an endpoint that had stated in a response that it leaves, if its registration was gone when the response arrived and came back afterwards: the statement bound only registered endpoints. It is now kept with the endpoints that were removed lately.

TestLeavingIsKeptWhileRegistrationIsGone failed before: a leaving was no news, and the endpoint was available after its registration came back.

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -111,17 +111,26 @@
 }
 
 // MarkLeaving records that an incarnation of an endpoint states that it leaves, whatever
-// its registration says, and reports whether that is news.
+// its registration says, also if that is gone just now. It reports whether that is news.
 func (r *Roster) MarkLeaving(endpoint *usher.Registration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current, known := r.endpoints[endpoint.Name]
-	if !known || current.Leaving || current.Born != endpoint.Born || current.Address != endpoint.Address {
+	current, registered := r.endpoints[endpoint.Name]
+	departure, departed := r.departed[endpoint.Name]
+	if !registered && departed {
+		current = departure.registration
+	}
+	if !registered && !departed || current.Leaving || current.Born != endpoint.Born || current.Address != endpoint.Address {
 		return false
 	}
 	current.Leaving = true
-	r.endpoints[endpoint.Name] = current
-	r.notify(usher.EndpointChange{Registration: current, Usable: true}, "said so in a response")
+	if registered {
+		r.endpoints[endpoint.Name] = current
+	} else {
+		departure.registration = current
+		r.departed[endpoint.Name] = departure
+	}
+	r.notify(usher.EndpointChange{Registration: current, Usable: registered}, "said so in a response")
 	r.publish()
 	return true
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -222,3 +222,29 @@
 		t.Error("a late response of the old incarnation binds the new one")
 	}
 }
+
+// A response that states a leaving arrives while the registration is gone for a moment. The
+// registration that comes back took the statement back before.
+func TestLeavingIsKeptWhileRegistrationIsGone(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	r := New(2*time.Second, c.now, nil)
+	list := []usher.EndpointChange{born(registered("a", false), 1)}
+	r.Replace(list, 5)
+	r.Replace(nil, 6)
+	if !r.MarkLeaving(&list[0].Registration) || r.MarkLeaving(&list[0].Registration) {
+		t.Error("a leaving is news once")
+	}
+	r.Replace(list, 7)
+	if got := available(r); len(got) != 0 {
+		t.Errorf("available: %v, want none", got)
+	}
+	r.Replace(nil, 8)
+	next := born(list[0], 2)
+	if r.MarkLeaving(&next.Registration) {
+		t.Error("a response of an incarnation that was never registered counts")
+	}
+	r.Replace([]usher.EndpointChange{next}, 9)
+	if got := available(r); len(got) != 1 {
+		t.Error("a new incarnation is not available")
+	}
+}
