Keep an endpoint's pause when a response of its previous incarnation is late

Requests went to an endpoint that had asked to be left alone, after a late 503 of the incarnation before it under the same ID had arrived: there was one pause for each ID, and the one that came last replaced the other. Pauses are now kept for each incarnation.

TestPauseOutlastsOneOfThePreviousIncarnation failed before (a paused endpoint got a request).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -100,9 +100,9 @@
 	name      usher.ServiceName
 	spec      ServiceSpec
 	endpoints map[usher.EndpointName]*endpoint
-	// pauses are those that endpoints have asked for. They outlast a registration that
-	// vanishes and comes back.
-	pauses    map[usher.EndpointName]pause
+	// pauses are until when incarnations of endpoints want no requests from this
+	// instance. They outlast a registration that vanishes and comes back.
+	pauses    map[incarnation]time.Time
 	queue     waitQueue
 	grantRate rate
 	// arrivalRates are the arrival rates of requests by rank.
@@ -242,7 +242,7 @@
 	svc := s.services[name]
 	if svc == nil {
 		svc = &service{
-			name: name, endpoints: make(map[usher.EndpointName]*endpoint), pauses: make(map[usher.EndpointName]pause),
+			name: name, endpoints: make(map[usher.EndpointName]*endpoint), pauses: make(map[incarnation]time.Time),
 			routes: make(map[usher.RouteName]*routeStats), prefixes: newPrefixTable(),
 		}
 		s.services[name] = svc
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -1,18 +1,22 @@
 package dispatch
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"filbertusher/pkg/usher"
 )
 
-// pause is the time during which an incarnation of an endpoint wants no requests from
-// this instance.
-type pause struct {
-	born  int64
-	until time.Time
+// incarnation identifies one start of an endpoint.
+type incarnation struct {
+	name usher.EndpointName
+	born int64
 }
 
+func incarnationOf(r *usher.Registration) incarnation { return incarnation{name: r.Name, born: r.Born} }
+
 // Pause sends no requests to the grant's endpoint for a time that the endpoint has asked
 // for. A later, shorter pause has no effect. Queued requests that only paused endpoints
 // could serve are refused if they would not wait until the first pause ends.
@@ -21,16 +25,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc, now := g.service, s.options.Now()
-	for name, p := range svc.pauses {
-		if !now.Before(p.until) {
-			delete(svc.pauses, name)
-		}
-	}
-	until := now.Add(wait)
-	if p, known := svc.pauses[g.Endpoint.Name]; known && p.born == g.Endpoint.Born && p.until.After(until) {
+	maps.DeleteFunc(svc.pauses, func(_ incarnation, until time.Time) bool { return !now.Before(until) })
+	paused, until := incarnationOf(&g.Endpoint), now.Add(wait)
+	if svc.pauses[paused].After(until) {
 		return
 	}
-	svc.pauses[g.Endpoint.Name] = pause{born: g.Endpoint.Born, until: until}
+	svc.pauses[paused] = until
 	for _, w := range slices.Collect(svc.queue.inOrder()) {
 		if svc.isBlockedByPauses(w, now) {
 			s.refuseQueued(svc, w, now, &svc.counts.refused, pausedMessage)
@@ -44,11 +44,11 @@
 
 // pausedUntil returns the end of the endpoint's pause, or the zero time.
 func (svc *service) pausedUntil(e *endpoint, now time.Time) time.Time {
-	p, known := svc.pauses[e.Name]
-	if !known || p.born != e.Born || !now.Before(p.until) {
+	until := svc.pauses[incarnationOf(&e.Registration)]
+	if !now.Before(until) {
 		return time.Time{}
 	}
-	return p.until
+	return until
 }
 
 // firstPauseEnd returns when the first of the endpoints that the request may use takes
--- a/internal/dispatch/pause_test.go
+++ b/internal/dispatch/pause_test.go
@@ -81,6 +81,34 @@
 	f.grant("3")
 }
 
+// A late response of the incarnation before ended the pause of the present one.
+func TestPauseOutlastsOneOfThePreviousIncarnation(t *testing.T) {
+	f := newPauseFixture(t)
+	spec := ServiceSpec{Engine: true, Slots: 1}
+	registration := usher.Registration{Name: "a", Service: "s", Slots: 1, Born: 1}
+	f.SetEndpoints("s", spec, []usher.Registration{registration})
+	late := f.grant("1")
+	registration.Born = 2
+	f.SetEndpoints("s", spec, []usher.Registration{registration})
+	present := f.grant("2")
+	present.Pause(10 * time.Second)
+	present.End(Cancelled)
+	late.Pause(time.Second)
+	late.End(Cancelled)
+	if f.TryAdmit(newRequest("3")) != nil {
+		t.Error("a paused endpoint got a request")
+	}
+}
+
+// awaitQueued waits until a request is in the queue.
+func (f *pauseFixture) awaitQueued() {
+	for queued := 0; queued == 0; time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		queued = f.service("s").queue.len()
+		f.mu.Unlock()
+	}
+}
+
 func TestRequestsAreRefusedWhenAllEndpointsPause(t *testing.T) {
 	f := newPauseFixture(t)
 	f.pauseBoth(4*time.Second, 6*time.Second)
@@ -110,11 +138,7 @@
 		_, err := f.Admit(t.Context(), newRequest("3"))
 		decided <- err
 	}()
-	for queued := 0; queued == 0; time.Sleep(time.Millisecond) {
-		f.mu.Lock()
-		queued = f.service("s").queue.len()
-		f.mu.Unlock()
-	}
+	f.awaitQueued()
 	one.Pause(time.Minute)
 	select {
 	case err := <-decided:
