Refuse what waits when only paused endpoints are left

When the last endpoint of a service that was not paused left, requests that waited for it waited on to their deadlines, although the others had asked to be left alone for longer. They are now refused at once, as when the last endpoint pauses, and their callers are told when to come back.

TestWaitingRequestsAreRefusedWhenOnlyPausedEndpointsAreLeft failed before (1 requests wait for an endpoint that is paused for longer).

--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -31,6 +31,15 @@
 		return
 	}
 	svc.pauses[paused] = until
+	s.refuseBlocked(svc, now)
+}
+
+// refuseBlocked refuses the queued requests that would not wait until the first pause ends.
+// The caller must hold s.mu.
+func (s *Scheduler) refuseBlocked(svc *service, now time.Time) {
+	if len(svc.pauses) == 0 {
+		return
+	}
 	for _, w := range slices.Collect(svc.queue.inOrder()) {
 		if svc.isBlockedByPauses(w, now) {
 			s.refuseQueued(svc, w, now, &svc.counts.refused, pausedMessage)
--- a/internal/dispatch/pause_test.go
+++ b/internal/dispatch/pause_test.go
@@ -100,6 +100,30 @@
 	}
 }
 
+// The last endpoint that is not paused leaves. What waits for it waited on to its deadline.
+func TestWaitingRequestsAreRefusedWhenOnlyPausedEndpointsAreLeft(t *testing.T) {
+	f := newPauseFixture(t)
+	one, two := f.grant("1"), f.grant("2")
+	decided := make(chan error, 1)
+	go func() {
+		_, err := f.Admit(t.Context(), newRequest("3"))
+		decided <- err
+	}()
+	f.awaitQueued()
+	one.Pause(time.Minute)
+	f.SetEndpoints("s", ServiceSpec{Engine: true, Slots: 1}, []usher.Registration{one.Endpoint})
+	f.mu.Lock()
+	queued := f.service("s").queue.len()
+	f.mu.Unlock()
+	if queued != 0 {
+		t.Fatalf("%d requests wait for an endpoint that is paused for longer", queued)
+	}
+	if refusal := new(usher.Refusal); !errors.As(<-decided, &refusal) || refusal.RetryAfter < 59*time.Second {
+		t.Errorf("got %v", refusal)
+	}
+	two.End(Answered)
+}
+
 // awaitQueued waits until a request is in the queue.
 func (f *pauseFixture) awaitQueued() {
 	for queued := 0; queued == 0; time.Sleep(time.Millisecond) {
--- a/internal/dispatch/share.go
+++ b/internal/dispatch/share.go
@@ -74,6 +74,7 @@
 	now := s.options.Now()
 	s.updateShares(now)
 	s.assignSlots(svc, now)
+	s.refuseBlocked(svc, now)
 }
 
 // SetMembers sets the names of the instances that share the endpoints, including
