Tell rejected callers to come back after the pauses

Callers whose request the last replica that it could try had rejected were told to come back after half a second, all of them, although all replicas of the service had asked to be left alone for longer. Only requests that were refused before they were sent got the rest of the pause. Both get it now, spread out.

TestRejectedCallersComeBackAfterPause failed before: of 40 callers of a route with one attempt some came back after 0.5 s where the replica had asked for 20 s, the others after 20 to 30 s.

--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -84,6 +84,14 @@
 	return svc.firstPauseEnd(w.request, now).After(w.waitDeadline)
 }
 
+// RetryAfterPause returns how long the caller of a request that endpoints have rejected
+// should wait while all that serve it are paused, or 0.
+func (s *Scheduler) RetryAfterPause(request *Request) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service(request.Service).retryAfterPause(request, s.options.Now())
+}
+
 // retryAfterPause returns how long a refused caller should wait while all endpoints are
 // paused, or 0. Random jitter keeps callers that were refused at the same moment from
 // retrying all at the end of the pause.
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -31,8 +31,8 @@
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
 		h.terminate(relay, cancelledRefusal(ctx))
 	default:
-		refusal := usher.NewRefusal(usher.RefusalOverloaded, last.detail())
-		h.terminate(relay, refusal.WithRetryAfter(defaultRetryAfter))
+		wait := max(defaultRetryAfter, h.gateway.Scheduler.RetryAfterPause(h.dispatchRequest(nil, false)))
+		h.terminate(relay, usher.NewRefusal(usher.RefusalOverloaded, last.detail()).WithRetryAfter(wait))
 	}
 }
 
--- a/test/gateway/pause_test.go
+++ b/test/gateway/pause_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
@@ -63,3 +64,36 @@
 	defer r.mu.Unlock()
 	return r.cancelled
 }
+
+// A request that may be sent once only meets a replica that sheds. Its caller was told to come
+// back after half a second, as all others, whatever the replica had asked for.
+func TestRejectedCallersComeBackAfterPause(t *testing.T) {
+	c := newCluster(t)
+	g := c.startGateway("g1")
+	desk := newReplica(t, "d1", "desk", 8, 0)
+	c.register(desk, "ready")
+	c.awaitServed(g, "/check/a")
+	desk.update(func() { desk.shedFor, desk.arrivals = "20", nil })
+	const callers = 40
+	results := make(chan callResult, callers)
+	since := time.Now()
+	for i := range callers {
+		go func() { results <- g.call(t.Context(), http.MethodPost, "/order/a", fmt.Sprint("rejected", i)) }()
+	}
+	earliest, latest := time.Hour, time.Duration(0)
+	for range callers {
+		result := <-results
+		seconds, err := strconv.ParseFloat(result.header.Get("Retry-After"), 64)
+		if result.status != http.StatusServiceUnavailable || err != nil {
+			t.Fatalf("status %d, Retry-After %q", result.status, result.header.Get("Retry-After"))
+		}
+		back := time.Duration(seconds * float64(time.Second))
+		earliest, latest = min(earliest, back), max(latest, back)
+	}
+	if desk.arrivalsSince(since) == 0 {
+		t.Error("the replica has rejected nothing")
+	}
+	if earliest < 20*time.Second-time.Since(since) || latest-earliest < 2*time.Second {
+		t.Errorf("callers come back %v to %v after the replica has asked for 20 s", earliest, latest)
+	}
+}
