--- a/test/gateway/outage_test.go
+++ b/test/gateway/outage_test.go
@@ -44,8 +44,9 @@
 	Dispatch []struct {
 		Service   string `json:"service"`
 		Endpoints []struct {
-			Slots    int `json:"slots"`
-			Entitled int `json:"entitled"`
+			Slots    int   `json:"slots"`
+			Entitled int   `json:"entitled"`
+			PausedMs int64 `json:"pausedMs"`
 		} `json:"endpoints"`
 	} `json:"dispatch"`
 }
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -58,6 +59,8 @@
 	// number of seconds, it rejects all requests and wants no others for so long.
 	leaving bool
 	shedFor string
+	// statements are further headers of all responses. They replace those of shedFor.
+	statements http.Header
 	// arrivals are the times at which requests arrived, by the address of their sender.
 	arrivals []replicaArrival
 	// rateLimit is the Server-Limit that responses name, if it is not empty.
@@ -134,6 +137,7 @@
 	if r.leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
+	maps.Copy(w.Header(), r.statements)
 	shedFor := r.shedFor
 	r.arrivals = append(r.arrivals, replicaArrival{at: time.Now(), from: request.Header.Get("X-Filbertusher-Tenant-Id") + request.Header.Get("Via-Gateway"), shed: shedFor != ""})
 	r.mu.Unlock()
@@ -144,7 +148,9 @@
 	}
 	if shedFor != "" {
 		w.Header().Set("X-Filbertusher-Not-Executed", "1")
-		w.Header().Set("Retry-After", shedFor)
+		if _, stated := w.Header()["Retry-After"]; !stated {
+			w.Header().Set("Retry-After", shedFor)
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
