Name the endpoints that leave in the dump

An operator could not see from a gateway's dump which endpoints leave: the scheduler drops them, and the section roster held only counts. It names them now, whether the store or a response said so.

TestDumpNamesLeavingEndpoints failed before (no name in place of a and c).

--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -299,11 +300,19 @@
 func (r *Roster) State() any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var leaving []usher.EndpointName
+	for name, endpoint := range r.endpoints {
+		if endpoint.Leaving {
+			leaving = append(leaving, name)
+		}
+	}
+	slices.Sort(leaving)
 	return struct {
-		Era       usher.StoreEra `json:"era"`
-		Revision  uint64         `json:"revision"`
-		Endpoints int            `json:"endpoints"`
-		Lapsed    int            `json:"lapsed"`
-		Withheld  int            `json:"withheld"`
-	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), len(r.lapsedSince), len(r.withheld)}
+		Era       usher.StoreEra       `json:"era"`
+		Revision  uint64               `json:"revision"`
+		Endpoints int                  `json:"endpoints"`
+		Leaving   []usher.EndpointName `json:"leaving"`
+		Lapsed    int                  `json:"lapsed"`
+		Withheld  int                  `json:"withheld"`
+	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), leaving, len(r.lapsedSince), len(r.withheld)}
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"encoding/json"
 	"slices"
 	"testing"
 	"time"
@@ -248,3 +249,23 @@
 		t.Error("a new incarnation is not available")
 	}
 }
+
+// The endpoints that leave were missing from the dump, as the scheduler knows them no more.
+func TestDumpNamesLeavingEndpoints(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	r := New(2*time.Second, c.now, nil)
+	said := registered("c", false)
+	r.Replace([]usher.EndpointChange{said, registered("a", true), registered("b", false)}, 5)
+	r.MarkLeaving(&said.Registration)
+	encoded, err := json.Marshal(r.State())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var state struct{ Leaving []string }
+	if err := json.Unmarshal(encoded, &state); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"a", "c"}, state.Leaving); diff != "" {
+		t.Error(diff)
+	}
+}
