Order endpoints of the same cost alike for the same requests

Ties are now decided by a hash of the number of grants, the request's ID and the endpoint's name: still spread over the endpoints, also for requests with the same ID, and the same whenever the same requests come in the same order. No bound of a test was touched.

TestSimulationRepeats failed before (the same requests got other decisions).

--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -66,6 +66,7 @@
 // last suspension for being unreachable, or 0 once a first event has arrived since.
 type endpoint struct {
 	usher.Registration
+	nameHash           uint64
 	own                Load
 	others             Load
 	awaitingFirstEvent map[*Grant]struct{}
@@ -99,7 +100,7 @@
 }
 
 func newEndpoint(r usher.Registration) *endpoint {
-	return &endpoint{Registration: r, awaitingFirstEvent: make(map[*Grant]struct{}), ratio: 1, eventInterval: baseEventInterval}
+	return &endpoint{Registration: r, nameHash: hashOf(r.Name), awaitingFirstEvent: make(map[*Grant]struct{}), ratio: 1, eventInterval: baseEventInterval}
 }
 
 // slotCount returns how many requests the endpoint runs concurrently.
@@ -197,6 +198,7 @@
 	var bestCost time.Duration
 	left := request.Deadline.Sub(now)
 	deadlineMet := false
+	tieSeed := svc.tieSeed(request)
 	for _, e := range svc.endpoints {
 		if !request.mayUse(e) {
 			continue
@@ -214,7 +216,7 @@
 		if request.Target.After(now) && first > request.Target.Sub(now) {
 			cost += latePenalty
 		}
-		if best == nil || cost < bestCost {
+		if best == nil || cost < bestCost || cost == bestCost && e.tieOrder(tieSeed) < best.tieOrder(tieSeed) {
 			best, bestCost = e, cost
 		}
 	}
