Give each replica of the gateways' tests an address of its own

A test that crashes a replica takes it for gone as nothing listens on its port any more. Replicas listened on 127.0.0.1, where other replicas and the tests of other packages that run beside it take ports too, so that one of them could answer in its place and change the verdict without a change of code. Replicas now listen on addresses of their own, as gateways do. The test of an unreachable peer uses a port that is assigned to nobody instead of one that it has just closed.

--- a/internal/peerrpc/client_test.go
+++ b/internal/peerrpc/client_test.go
@@ -83,9 +83,8 @@
 }
 
 func TestUnreachablePeer(t *testing.T) {
-	listener := listen(t)
-	address := listener.Addr().String()
-	_ = listener.Close()
+	// A port that is assigned to no listener, unlike one that was closed just now.
+	const address = "127.0.0.1:1"
 	var unreachable *UnreachableError
 	if err := New(address).Call(t.Context(), "Echo.Back", &[]byte{}, &[]byte{}); !errors.As(err, &unreachable) {
 		t.Errorf("error is %v, want an UnreachableError", err)
--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -159,15 +159,28 @@
 	_ = response.Body.Close()
 }
 
-// clusterCount is the number of clusters created by this process.
-var clusterCount atomic.Uint32
+// loopbackCount is the number of loopback addresses that this process has assigned.
+var loopbackCount atomic.Uint32
 
 // newLoopbackIP returns a loopback address that is derived from the process ID and
-// the number of the cluster. Clusters that run concurrently, in this or in another
-// test process, therefore don't take each other's ports.
+// the number of those before. Clusters and replicas that run concurrently, in this or in
+// another test process, therefore don't take each other's ports, nor one that a crashed
+// replica has left.
 func newLoopbackIP() string {
 	const hosts = 250
-	return fmt.Sprintf("127.%d.%d.3", 2+os.Getpid()%hosts, clusterCount.Add(1)%hosts)
+	number := loopbackCount.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%hosts, number/hosts%hosts, 3+number%hosts)
+}
+
+// listenAlone listens on a loopback address of its own until the test ends.
+func listenAlone(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", newLoopbackIP()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
 }
 
 // freeAddresses returns n different addresses on which no process listens.
--- a/test/gateway/endless_test.go
+++ b/test/gateway/endless_test.go
@@ -27,11 +27,7 @@
 
 func newScriptedReplica(t *testing.T, id string, answer func(conn net.Conn, request *http.Request)) *scriptedReplica {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
+	listener := listenAlone(t)
 	r := &scriptedReplica{id: id, address: listener.Addr().String()}
 	go func() {
 		for {
--- a/test/gateway/replica_test.go
+++ b/test/gateway/replica_test.go
@@ -91,7 +91,8 @@
 		id: id, service: service, version: "v1", born: 1700000000000, eventsPerStream: eventsPerStream, slots: make(chan struct{}, slots), queueLimit: slots,
 		executions: make(map[string]int), eventInterval: time.Millisecond, processingTime: time.Millisecond, abortAfter: -1,
 	}
-	r.server = httptest.NewServer(r)
+	r.server = &httptest.Server{Listener: listenAlone(t), Config: &http.Server{Handler: r}}
+	r.server.Start()
 	t.Cleanup(func() {
 		r.server.CloseClientConnections()
 		r.server.Close()
