Don't report a change as in conflict with itself after a lost reply

An operator whose change was accepted late, while the store lost a reply and refused calls after it, was told that the change conflicts with their own.

Cause: an unknown outcome wraps the error of the last call. Apply took it for a refused call, which has no effect, and built the change again on the version that held it already. One refused read after the conflict sufficed.

Change: an unknown outcome is returned as such, and the read that decides after a conflict is repeated like the others.

--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -50,8 +50,10 @@
 	storeRefusals := 0
 	for attempt := 0; ; attempt++ {
 		next, retry, err := c.tryApply(ctx, &change, base, &current)
-		if isUnavailable(err) && storeRefusals < maxStoreRefusals {
-			// A call that the store refused had no effect, so it is safe to retry.
+		unknown := new(UnknownOutcomeError)
+		if isUnavailable(err) && !errors.As(err, &unknown) && storeRefusals < maxStoreRefusals {
+			// A call that the store refused had no effect, so it is safe to retry. After an
+			// unknown outcome, the change may have been accepted and would conflict with itself.
 			storeRefusals++
 			pause.For(ctx, storeRetryDelay)
 			continue
@@ -147,11 +149,16 @@
 		return true, nil
 	}
 	// The conflict may be with an earlier attempt to write this same change.
-	head, _, readErr := config.LoadHead(ctx, c.store)
-	if readErr != nil {
-		return false, &UnknownOutcomeError{ID: next.Head.ID, Cause: readErr}
+	for attempt := 0; ; attempt++ {
+		head, _, readErr := config.LoadHead(ctx, c.store)
+		if readErr == nil {
+			return !includesChange(head, next.Head.ID), nil
+		}
+		if attempt == maxOutcomeChecks || ctx.Err() != nil {
+			return false, &UnknownOutcomeError{ID: next.Head.ID, Cause: readErr}
+		}
+		pause.For(ctx, storeRetryDelay)
 	}
-	return !includesChange(head, next.Head.ID), nil
 }
 
 func isUnavailable(err error) bool {
