Find a change with a lost reply among many others

Cause: the newest version lists 32 ancestors. A change that is not among them was taken for one that was not accepted, built again, and in conflict with itself.

Change: where the list does not reach back, the version that would have been the change is read from the archive.

--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -117,9 +117,9 @@
 }
 
 // commit writes the head. If the store's response is lost, commit reads the head
-// back: the change ID in it, or in its lineage, shows whether the write took
-// effect. Repeating the write is safe, because it is conditional on a version
-// that it can replace only once.
+// back: the change ID in it, in its lineage, or in the archived head of the version
+// that was written shows whether the write took effect. Repeating the write is safe,
+// because it is conditional on a version that it can replace only once.
 func (c *Client) commit(ctx context.Context, next *config.Snapshot, version usher.Version) (retry bool, err error) {
 	err = next.SaveHead(ctx, c.store, version)
 	var ambiguous *usher.AmbiguousError
@@ -134,10 +134,9 @@
 		switch {
 		case readErr != nil:
 			continue
-		case includesChange(head, next.Head.ID):
-			return false, nil
 		case headVersion != version:
-			return true, nil
+			accepted, err := c.wasAccepted(ctx, head, &next.Head)
+			return !accepted, err
 		}
 		err = next.SaveHead(ctx, c.store, version)
 	}
@@ -152,7 +151,8 @@
 	for attempt := 0; ; attempt++ {
 		head, _, readErr := config.LoadHead(ctx, c.store)
 		if readErr == nil {
-			return !includesChange(head, next.Head.ID), nil
+			accepted, err := c.wasAccepted(ctx, head, &next.Head)
+			return !accepted, err
 		}
 		if attempt == maxOutcomeChecks || ctx.Err() != nil {
 			return false, &UnknownOutcomeError{ID: next.Head.ID, Cause: readErr}
@@ -166,16 +166,21 @@
 	return errors.As(err, &unavailable)
 }
 
-func includesChange(head *config.Head, id config.ChangeID) bool {
-	if head.ID == id {
-		return true
+// wasAccepted reports whether written became the version that it names, or returns an
+// *UnknownOutcomeError. head has replaced the version that written is based on.
+func (c *Client) wasAccepted(ctx context.Context, head, written *config.Head) (bool, error) {
+	if head.ID == written.ID || slices.Contains(head.Lineage, written.ID) {
+		return true, nil
 	}
-	for _, earlier := range head.Lineage {
-		if earlier == id {
-			return true
-		}
+	if head.Version <= written.Version+usher.Version(len(head.Lineage)) {
+		return false, nil
+	}
+	// The lineage no longer reaches back to that version.
+	archived, err := config.LoadArchivedHead(ctx, c.store, written.Version)
+	if err != nil {
+		return false, &UnknownOutcomeError{ID: written.ID, Cause: err}
 	}
-	return false
+	return archived.ID == written.ID, nil
 }
 
 // checkConflict returns a *ConflictError if an object of the change was changed
--- a/internal/operator/lost_reply_test.go
+++ b/internal/operator/lost_reply_test.go
@@ -22,6 +22,8 @@
 type lossyStore struct {
 	usher.Store
 	lateAt, refuseFrom, refusals int
+	// afterLate is called after the write was applied, unless it is nil.
+	afterLate func()
 
 	late  func()
 	calls int
@@ -35,6 +37,9 @@
 	s.calls++
 	if s.calls == s.lateAt {
 		s.late()
+		if s.afterLate != nil {
+			s.afterLate()
+		}
 	}
 	if s.calls < s.refuseFrom || s.calls >= s.refuseFrom+s.refusals {
 		return nil
@@ -95,6 +100,29 @@
 	}
 }
 
+// The same happened when so many changes were accepted after it that the newest version no
+// longer lists it among its ancestors.
+func TestLostReplyBeforeManyOtherChanges(t *testing.T) {
+	for _, others := range []int{31, 32, 33, 80} {
+		t.Run(fmt.Sprint(others), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				direct := store.NewDirect(store.NewMemory())
+				lossy := &lossyStore{Store: direct, lateAt: 1}
+				want := []config.ChangeID{"ours"}
+				lossy.afterLate = func() {
+					for n := range others {
+						want = append(want, mustApply(t, operator.New(direct, "bob"), tier("y", n)).ID)
+					}
+				}
+				if _, err := operator.New(lossy, "ann").Apply(t.Context(), operator.Change{ID: "ours", Put: []usher.Object{tier("x", 1)}}); err != nil {
+					t.Error(err)
+				}
+				assertHistory(t, direct, want...)
+			})
+		})
+	}
+}
+
 // assertHistory checks the IDs of all versions, oldest first.
 func assertHistory(t *testing.T, from usher.Store, want ...config.ChangeID) {
 	t.Helper()
