Give no ID in the prefix table twice

An entry with more than 65,535 endpoints of its own took some for holders of prefixes that others hold; where all IDs were in use, a new endpoint would have kept it searching without end.

Cause: the search for a free ID started again at 0, and did not know those that it had given out before.

Change: endpoints beyond the last ID have none, and the table holds nothing about them until one is free.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -10,6 +10,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,7 +51,8 @@
 	name    usher.EndpointName
 	zone    usher.AvailabilityZone
 	leaving bool
-	// id identifies the endpoint in the prefix table.
+	// id identifies the endpoint in the prefix table, which holds nothing about endpoints
+	// with ID 0.
 	id     uint16
 	report atomic.Pointer[receivedReport]
 	// sentWork and sentCount are totals over all requests sent to the endpoint.
@@ -106,22 +108,21 @@
 		byName:    make(map[usher.EndpointName]*endpoint, len(snapshot.Endpoints)),
 		byService: make(map[usher.ServiceName][]*endpoint, len(snapshot.SelectedByService)),
 	}
-	usedIDs := make(map[uint16]bool, len(snapshot.Endpoints))
+	ids := idAllocator{used: make(map[uint16]bool, len(snapshot.Endpoints))}
 	for name := range snapshot.Endpoints {
 		if existing, ok := old.byName[name]; ok {
-			usedIDs[existing.id] = true
+			ids.used[existing.id] = true
 		}
 	}
-	lastID := uint16(0)
 	for service, declared := range snapshot.SelectedByService {
 		endpoints := make([]*endpoint, 0, len(declared))
 		for _, declaration := range declared {
 			e := &endpoint{name: declaration.Name, zone: declaration.AvailabilityZone, leaving: declaration.Leaving}
 			if existing, ok := old.byName[declaration.Name]; ok {
 				e.copyState(existing)
-			} else {
-				lastID = nextFreeID(lastID, usedIDs)
-				e.id = lastID
+			}
+			if e.id == 0 {
+				e.id = ids.next()
 			}
 			t.byName[declaration.Name] = e
 			endpoints = append(endpoints, e)
@@ -131,14 +132,22 @@
 	return t
 }
 
-// nextFreeID returns the first ID after last that no endpoint has.
-func nextFreeID(last uint16, used map[uint16]bool) uint16 {
-	for {
-		last++
-		if !used[last] {
-			return last
+// idAllocator gives out the IDs of new endpoints in the prefix table. last is the one that
+// was given out last.
+type idAllocator struct {
+	used map[uint16]bool
+	last uint16
+}
+
+// next returns an ID that no endpoint has, or 0 if none is left.
+func (a *idAllocator) next() uint16 {
+	for a.last < math.MaxUint16 {
+		a.last++
+		if !a.used[a.last] {
+			return a.last
 		}
 	}
+	return 0
 }
 
 // copyState copies the state of the endpoint from the old table. Requests that
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -50,6 +50,9 @@
 
 // add records that the endpoint has the prefix.
 func (t *prefixTable) add(prefix []uint64, endpoint uint16) {
+	if endpoint == 0 {
+		return
+	}
 	generation := uint16(t.addCount.Add(1) / addsPerGeneration)
 	for _, hash := range prefix {
 		t.set(hash).put(hash, generation, endpoint)
