Free the memory of responses that callers don't read

Cause: only streams had a deadline for writes to the caller.

Change: whole responses have one too, a second after the caller stops to wait.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -131,11 +132,23 @@
 	}
 }
 
+// abandonedAt returns when the caller no longer waits for the response. A caller that states
+// no time, or a longer one than requests are run, still gets the usual time to read it.
+func (h *requestHandler) abandonedAt() time.Time {
+	usual := h.arrived.Add(min(cmp.Or(h.headers.Wait, defaultTimeout), defaultTimeout))
+	if h.deadline.After(usual) {
+		return h.deadline
+	}
+	return usual
+}
+
 // deliver writes a buffered response to the caller.
 func (h *requestHandler) deliver(response *bufferedResponse) {
 	h.firstLatency = time.Since(h.arrived)
 	h.status = response.status
 	h.outcome = usher.OutcomeRan
+	// The memory of the body is held until the caller has read it.
+	_ = http.NewResponseController(h.writer).SetWriteDeadline(h.abandonedAt().Add(writeDeadlineMargin))
 	header := h.writer.Header()
 	for name, values := range h.gateway.Codec.EncodeResponse(response.header) {
 		header[name] = values
