--- a/test/gateway/outage_test.go
+++ b/test/gateway/outage_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"filbertusher/internal/dispatch"
 	"filbertusher/internal/standin/store"
 )
 
@@ -44,8 +45,9 @@
 	Dispatch []struct {
 		Service   string `json:"service"`
 		Endpoints []struct {
-			Slots    int `json:"slots"`
-			Entitled int `json:"entitled"`
+			Slots    int           `json:"slots"`
+			Entitled int           `json:"entitled"`
+			Own      dispatch.Load `json:"own"`
 		} `json:"endpoints"`
 	} `json:"dispatch"`
 }
--- a/test/gateway/unread_test.go
+++ b/test/gateway/unread_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // Callers that don't read their responses held the memory of all responses for as long as
@@ -38,23 +39,31 @@
 // beginsResponse sends a request on a connection that stays open, and reports whether the
 // response begins as a success, of which it reads no more.
 func (c *cluster) beginsResponse(g *gateway, id string) bool {
+	c.t.Helper()
+	conn := c.beginRequest(g, "/check/a", id, 2*time.Second, 4<<10)
+	const success = "HTTP/1.1 200"
+	status := make([]byte, len(success))
+	if _, err := io.ReadFull(conn, status); err != nil {
+		c.t.Fatal(err)
+	}
+	return string(status) == success
+}
+
+// beginRequest sends a request on a connection of its own, which is closed when the test ends.
+// readBuffer bounds the part of the response that the system holds for the caller.
+func (c *cluster) beginRequest(g *gateway, path, id string, wait time.Duration, readBuffer int) net.Conn {
 	c.t.Helper()
 	conn, err := net.Dial("tcp", g.callerAddress)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	c.t.Cleanup(func() { _ = conn.Close() })
-	if err := conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+	if err := conn.(*net.TCPConn).SetReadBuffer(readBuffer); err != nil {
 		c.t.Fatal(err)
 	}
-	_, err = fmt.Fprintf(conn, "GET /check/a HTTP/1.1\r\nHost: site.example\r\nX-Filbertusher-Attempt-Id: %s\r\nX-Filbertusher-Deadline-Ms: 2000\r\nX-Filbertusher-Credential: key\r\n\r\n", id)
+	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: site.example\r\nX-Filbertusher-Attempt-Id: %s\r\nX-Filbertusher-Deadline-Ms: %d\r\nX-Filbertusher-Credential: key\r\n\r\n", path, id, wait.Milliseconds())
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	const success = "HTTP/1.1 200"
-	status := make([]byte, len(success))
-	if _, err := io.ReadFull(conn, status); err != nil {
-		c.t.Fatal(err)
-	}
-	return string(status) == success
+	return conn
 }
