Bound the messages between processes

A peer that stated a message of 1 GB and sent that took a gateway with a limit of 200 MB to 8,288 MB, with 300 MB on each of four connections.

Cause: gob reads messages of up to 1 GB, and keeps copies as it grows.

Change: codecs of our own for net/rpc, with the same encoding, bound the header of a message, and its body by what the process at that end needs: a configuration at gateways, bodies of requests and answers elsewhere. A connection with a longer message is closed, and its calls fail as lost.

The packages that use peerrpc passed with the race detector. What gob makes of a valid message that is shorter than the limit is not bounded.

--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -147,7 +147,7 @@
 	p.admin.AddSection("companion", comp.State)
 	p.admin.AddSection("admission", admissionController.State)
 	p.admin.AddSection("record", replica.State)
-	server := peerrpc.NewServer(listener)
+	server := peerrpc.NewServer(listener, peerrpc.LargeMessages)
 	if err := server.Register("Companion", companion.NewRPC(comp)); err != nil {
 		return err
 	}
--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -90,7 +90,7 @@
 	selector := endpointset.Subset{Self: p.incarnation, Zone: usher.AvailabilityZone(p.zone), Size: p.endpointsPerService, OtherZones: min(p.endpointsPerService, p.endpointsInOtherZones)}
 	p.config.SetEndpointSelector(selector.Choose)
 	peerAddress := peerListener.Addr().String()
-	if err := p.syncConfig(ctx, peerrpc.NewServer(peerListener), peerAddress, ""); err != nil {
+	if err := p.syncConfig(ctx, peerrpc.NewServer(peerListener, peerrpc.LargeMessages), peerAddress, ""); err != nil {
 		return err
 	}
 	placer := placement.New(p.config, usher.AvailabilityZone(p.zone))
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -327,7 +327,7 @@
 	parts := newComponents()
 	parts.run(func() error { return p.gateway.Serve(requestCtx, listeners.callers) })
 	parts.run(func() error { return p.serveReadiness(ctx, listeners.readiness) })
-	parts.run(func() error { return p.peering.Serve(ctx, peerrpc.NewServer(listeners.peers)) })
+	parts.run(func() error { return p.peering.Serve(ctx, peerrpc.NewServer(listeners.peers, peerrpc.SmallMessages)) })
 	parts.run(func() error { return p.admin.Serve(ctx) })
 	parts.run(func() error { return p.watcher.Run(ctx) })
 	parts.run(func() error { return p.recorder.Run(ctx, noPeers{}) })
--- a/internal/companion/keyed.go
+++ b/internal/companion/keyed.go
@@ -285,7 +285,7 @@
 	if !ok {
 		return true
 	}
-	peer := peerrpc.New(address)
+	peer := peerrpc.New(address, peerrpc.LargeMessages)
 	defer peer.Close()
 	for range pingAttempts {
 		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -274,7 +274,7 @@
 		evicted.Close()
 		delete(s.clients, other)
 	}
-	client = peerrpc.New(address)
+	client = peerrpc.New(address, peerrpc.LargeMessages)
 	s.clients[address] = client
 	return client
 }
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -45,7 +45,7 @@
 		t.Fatal(err)
 	}
 	companion := &scriptedCompanion{suspects: suspect.NewTable(), done: t.Context().Done()}
-	server := peerrpc.NewServer(listener)
+	server := peerrpc.NewServer(listener, peerrpc.LargeMessages)
 	if err := server.Register("Companion", companion); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -114,7 +114,7 @@
 
 func (p *peerSet) connect(ctx context.Context, endpoint *usher.Endpoint) *peer {
 	ctx, cancel := context.WithCancel(ctx)
-	connected := newPeer(p.entry, endpoint.Name, peerrpc.New(endpoint.Companion), cancel)
+	connected := newPeer(p.entry, endpoint.Name, peerrpc.New(endpoint.Companion, peerrpc.LargeMessages), cancel)
 	go connected.collect(ctx)
 	return connected
 }
--- a/internal/peering/odd_entry_test.go
+++ b/internal/peering/odd_entry_test.go
@@ -40,12 +40,12 @@
 			if !oddIsLast {
 				list[0], list[1] = list[1], list[0]
 			}
-			server := peerrpc.NewServer(listener)
+			server := peerrpc.NewServer(listener, peerrpc.SmallMessages)
 			if err := server.Register(serviceName, &earlierPeer{list: EndpointList{Revision: 5, Endpoints: list}}); err != nil {
 				t.Fatal(err)
 			}
 			go func() { _ = server.Serve(ctx) }()
-			client := peerrpc.New(listener.Addr().String())
+			client := peerrpc.New(listener.Addr().String(), peerrpc.SmallMessages)
 			known := roster.New(0, time.Now, func(usher.EndpointChange, string) {})
 			p := New(usher.GatewayInstance{Name: "self"}, nil, Dependencies{
 				Routes: routing.NewHolder(func(usher.Version, usher.Version, string) {}), Roster: known, Log: zerolog.Nop(),
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -168,7 +168,7 @@
 
 func (p *Peering) startPeer(ctx context.Context, instance usher.GatewayInstance) {
 	ctx, cancel := context.WithCancel(ctx)
-	remote := &peer{instance: instance, client: peerrpc.New(instance.Address), cancel: cancel}
+	remote := &peer{instance: instance, client: peerrpc.New(instance.Address, peerrpc.SmallMessages), cancel: cancel}
 	p.peers[instance.Name] = remote
 	p.deps.Quota.AddPeer(instance.Name)
 	go p.runExchanges(ctx, remote)
@@ -395,7 +395,7 @@
 		if address == p.self.Address || ctx.Err() != nil {
 			continue
 		}
-		client := peerrpc.New(address)
+		client := peerrpc.New(address, peerrpc.SmallMessages)
 		exchangeCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		var reply Report
 		err := client.Call(exchangeCtx, serviceName+".Exchange", p.report(false), &reply)
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -48,15 +48,19 @@
 
 // Client is an RPC client of one peer. It is safe for concurrent use.
 type Client struct {
-	address string
-	client  atomic.Pointer[rpc.Client]
+	address    string
+	maxMessage int64
+	client     atomic.Pointer[rpc.Client]
 	// dialMu is held while the client is replaced.
 	dialMu sync.Mutex
 	closed atomic.Bool
 }
 
-// New returns a client of the peer at address. It connects on the first call.
-func New(address string) *Client { return &Client{address: address} }
+// New returns a client of the peer at address, which reads replies of at most maxMessage
+// bytes. It connects on the first call.
+func New(address string, maxMessage int64) *Client {
+	return &Client{address: address, maxMessage: maxMessage}
+}
 
 // Address returns the peer's address.
 func (c *Client) Address() string { return c.address }
@@ -116,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := rpc.NewClient(progressConn{conn})
+	client := rpc.NewClientWithCodec(clientCodec{newCodec(progressConn{conn}, c.maxMessage)})
 	c.client.Store(client)
 	return client, nil
 }
--- a/internal/peerrpc/client_test.go
+++ b/internal/peerrpc/client_test.go
@@ -34,14 +34,14 @@
 
 func TestCallAndReset(t *testing.T) {
 	listener := listen(t)
-	server := NewServer(listener)
+	server := NewServer(listener, LargeMessages)
 	if err := server.Register("Echo", &Echo{}); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
 	defer cancel()
 	go func() { _ = server.Serve(ctx) }()
-	client := New(listener.Addr().String())
+	client := New(listener.Addr().String(), LargeMessages)
 	defer client.Close()
 	for range 2 {
 		args, reply := make([]byte, 3*writeChunk), []byte(nil)
@@ -60,7 +60,7 @@
 // contexts never end.
 func TestPeerThatDoesNotRead(t *testing.T) {
 	listener := listen(t)
-	client := New(listener.Addr().String())
+	client := New(listener.Addr().String(), LargeMessages)
 	defer client.Close()
 	failed := make(chan error, 2)
 	for range 2 {
@@ -87,7 +87,7 @@
 	address := listener.Addr().String()
 	_ = listener.Close()
 	var unreachable *UnreachableError
-	if err := New(address).Call(t.Context(), "Echo.Back", &[]byte{}, &[]byte{}); !errors.As(err, &unreachable) {
+	if err := New(address, LargeMessages).Call(t.Context(), "Echo.Back", &[]byte{}, &[]byte{}); !errors.As(err, &unreachable) {
 		t.Errorf("error is %v, want an UnreachableError", err)
 	}
 }
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -21,16 +21,18 @@
 
 // Server accepts connections from peers and serves the registered methods.
 type Server struct {
-	rpc      *rpc.Server
-	listener net.Listener
+	rpc        *rpc.Server
+	listener   net.Listener
+	maxMessage int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 }
 
-// NewServer returns a server that accepts connections from the listener.
-func NewServer(listener net.Listener) *Server {
-	return &Server{rpc: rpc.NewServer(), listener: listener, conns: make(map[net.Conn]struct{})}
+// NewServer returns a server that accepts connections from the listener, and messages of at
+// most maxMessage bytes.
+func NewServer(listener net.Listener, maxMessage int64) *Server {
+	return &Server{rpc: rpc.NewServer(), listener: listener, maxMessage: maxMessage, conns: make(map[net.Conn]struct{})}
 }
 
 // Register makes the exported methods of receiver callable as name.Method.
@@ -77,7 +79,7 @@
 	s.mu.Lock()
 	s.conns[conn] = struct{}{}
 	s.mu.Unlock()
-	s.rpc.ServeConn(progressConn{conn})
+	s.rpc.ServeCodec(serverCodec{newCodec(progressConn{conn}, s.maxMessage)})
 	s.mu.Lock()
 	delete(s.conns, conn)
 	s.mu.Unlock()
--- a/internal/peerrpc/server_test.go
+++ b/internal/peerrpc/server_test.go
@@ -32,7 +32,7 @@
 		t.Run(lack.Error(), func(t *testing.T) {
 			listener := &failingListener{Listener: listen(t), err: lack}
 			listener.failures.Store(3)
-			server := NewServer(listener)
+			server := NewServer(listener, LargeMessages)
 			if err := server.Register("Echo", &Echo{}); err != nil {
 				t.Fatal(err)
 			}
@@ -44,7 +44,7 @@
 				cancel()
 				ended <- err
 			}()
-			client := New(listener.Addr().String())
+			client := New(listener.Addr().String(), LargeMessages)
 			defer client.Close()
 			args, reply := []byte("hello"), []byte(nil)
 			if err := client.Call(ctx, "Echo.Back", &args, &reply); err != nil {
@@ -67,7 +67,7 @@
 	listener.failures.Store(1)
 	ctx, cancel := context.WithTimeout(t.Context(), hangTimeout)
 	defer cancel()
-	if err := NewServer(listener).Serve(ctx); !errors.Is(err, syscall.EINVAL) {
+	if err := NewServer(listener, LargeMessages).Serve(ctx); !errors.Is(err, syscall.EINVAL) {
 		t.Errorf("Serve returned %v, want %v", err, syscall.EINVAL)
 	}
 }
--- a/test/control/stopped_companion_test.go
+++ b/test/control/stopped_companion_test.go
@@ -29,7 +29,7 @@
 	}
 	awaitLeaving(ctx, t, companion)
 	// A new connection, like that of an entry that has just started.
-	client := peerrpc.New(companion.Address)
+	client := peerrpc.New(companion.Address, peerrpc.LargeMessages)
 	defer client.Close()
 	reply := &wire.SubmitReply{}
 	args := &wire.SubmitArgs{
--- a/test/gateway/endless_test.go
+++ b/test/gateway/endless_test.go
@@ -212,3 +212,40 @@
 		}
 	}
 }
+
+// Something that is no peer sends a message without end on several connections. They are
+// closed, and the gateway stays within its memory.
+func TestPeerMessagesWithoutEnd(t *testing.T) {
+	const connections, most = 4, 300 << 20
+	c := newCluster(t)
+	g := c.startGateway("g1")
+	settings, err := os.ReadFile(g.settingsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := peerAddressPattern.FindStringSubmatch(string(settings))[1]
+	var wait sync.WaitGroup
+	for range connections {
+		wait.Go(func() {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			// The length of the message is 1 GB.
+			_, err = io.WriteString(conn, "\xfc\x3f\xff\xff\xff")
+			block := make([]byte, 1<<20)
+			for sent := 0; err == nil && sent < most; sent += len(block) {
+				_, err = conn.Write(block)
+			}
+			if err == nil {
+				t.Errorf("the gateway has read %d MB of a message", most>>20)
+			}
+		})
+	}
+	wait.Wait()
+	if peak := g.peakResidentBytes(t); peak > maxResidentBytes {
+		t.Errorf("the gateway used %d MB", peak>>20)
+	}
+}
