--- a/test/gateway/unread_test.go
+++ b/test/gateway/unread_test.go
@@ -30,7 +30,8 @@
 	}
 	c.eventually("long responses are delivered", isServed)
 	unread := 0
-	for ; c.beginsResponse(g, fmt.Sprint("unread", unread)); unread++ {
+	for c.beginsResponse(g, fmt.Sprint("unread", unread)) {
+		unread++
 	}
 	t.Logf("%d unread responses used up the memory", unread)
 	c.eventually("long responses are delivered again", isServed)
