Keep to the connections that an endpoint accepts

A replica resets connections beyond it, and requests on these were lost: an unsafe one then ends with 502.

Cause: each gateway kept up to 64 idle connections to an endpoint, whatever the others kept, and plain endpoints got three requests for each slot.

Change: the requests of all gateways at an endpoint stay within the number, as far as their reports tell. Each gateway keeps its part of what the slots leave as idle connections, and one at least, because a new connection takes longer.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -279,6 +279,7 @@
 		service := &index.Table.Services[i]
 		p.scheduler.SetEndpoints(service.Name, dispatch.ServiceSpec{
 			Engine: service.Engine, Slots: service.Slots, TokensPerEvent: service.TokensPerEvent,
+			MaxConnections: service.MaxConnections,
 		}, snapshot.ByService[service.Name])
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -74,10 +74,13 @@
 // set for inference engines, and unset for plain services. Slots is the number of
 // requests that an endpoint runs concurrently, unless its registration has a number
 // of its own. TokensPerEvent is the number of tokens in each event of a stream.
+// MaxConnections is the number of connections that an endpoint accepts from all instances
+// together; zero means no limit.
 type ServiceSpec struct {
 	Engine         bool
 	Slots          int
 	TokensPerEvent int
+	MaxConnections int
 }
 
 // Scheduler assigns requests to the endpoints of all services on behalf of one
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -102,18 +102,6 @@
 	return &endpoint{Registration: r, awaitingFirstEvent: make(map[*Grant]struct{}), ratio: 1, eventInterval: baseEventInterval}
 }
 
-// slotCount returns how many requests the endpoint runs concurrently.
-func (e *endpoint) slotCount(spec ServiceSpec) int {
-	switch {
-	case e.Slots > 0:
-		return e.Slots
-	case spec.Slots > 0:
-		return spec.Slots
-	default:
-		return 1
-	}
-}
-
 // canSend reports whether this instance may send one more request to the endpoint.
 // It may use its guaranteed slots and, until the next report, an equal part of the
 // slots that the other instances leave free.
@@ -128,7 +116,7 @@
 	slots := e.slotCount(svc.spec)
 	free := slots - e.own.Running - e.others.Running
 	if !svc.spec.Engine {
-		return e.own.Running < max(minPlainSlots, e.guaranteed) && free > -slots*plainQueueFactor
+		return e.own.Running < max(minPlainSlots, e.guaranteed) && free > -e.queueLength(svc.spec)
 	}
 	if free <= 0 {
 		return false
@@ -264,6 +252,9 @@
 	// and Running the number of requests that were known to run there at that time.
 	ExpectedFirstEvent time.Duration
 	Running            int
+	// MaxIdle is the number of idle connections to the endpoint that this instance may keep
+	// afterwards; zero means no limit.
+	MaxIdle int
 
 	scheduler      *Scheduler
 	service        *service
@@ -282,7 +273,7 @@
 	tokens := max(0, request.Prompt-svc.prefixes.cachedTokens(request.Prefix, e.Name))
 	g := &Grant{
 		Endpoint: e.Registration, ExpectedFirstEvent: e.timeToFirstEvent(svc, tokens, now), Running: e.own.Running + e.others.Running,
-		scheduler: s, service: svc, endpoint: e, rank: clampRank(request.Rank), prompt: tokens, sent: now,
+		MaxIdle: e.maxIdle(svc.spec, len(s.members)), scheduler: s, service: svc, endpoint: e, rank: clampRank(request.Rank), prompt: tokens, sent: now,
 	}
 	g.expected = g.ExpectedFirstEvent
 	svc.running++
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -296,6 +296,7 @@
 	return &upstream.Request{
 		ID: h.headers.ID, Method: h.request.Method, Target: h.request.RequestURI, Host: h.request.Host,
 		Header: h.gateway.Codec.EncodeRequest(h.request.Header, options), Body: h.body, NonIdempotent: !h.route.Idempotent(),
+		MaxIdle: grant.MaxIdle,
 	}
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -167,12 +168,14 @@
 	return c
 }
 
-func (p *Pool) put(key poolKey, c *conn, idle time.Duration) {
+// put keeps an idle connection, unless there are as many as maxIdle states; 0 stands for
+// maxIdlePerEndpoint.
+func (p *Pool) put(key poolKey, c *conn, idle time.Duration, maxIdle int) {
 	c.idleSince = time.Now()
 	c.usableUntil = c.idleSince.Add(idle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if idle <= 0 || len(p.idle[key]) >= maxIdlePerEndpoint {
+	if idle <= 0 || len(p.idle[key]) >= min(cmp.Or(maxIdle, maxIdlePerEndpoint), maxIdlePerEndpoint) {
 		c.abort()
 		return
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -88,6 +88,9 @@
 	// if that was idle for a short time, because the endpoint may be closing a
 	// connection that was idle for longer.
 	NonIdempotent bool
+	// MaxIdle bounds the idle connections to the endpoint that are kept after the request,
+	// if it is lower than the pool's own limit; zero means no other limit.
+	MaxIdle int
 }
 
 // Response is a response whose header was read and whose body was not. Metadata
@@ -116,6 +119,7 @@
 	stop        func() bool
 	pool        *Pool
 	key         poolKey
+	maxIdle     int
 	closeOnce   sync.Once
 }
 
@@ -171,7 +175,7 @@
 	if c.served > 0 {
 		p.adjustReuseIdle(c.idleBefore, false)
 	}
-	response.stop, response.pool, response.key, response.sentAt = stop, p, key, sentAt
+	response.stop, response.pool, response.key, response.maxIdle, response.sentAt = stop, p, key, request.MaxIdle, sentAt
 	if !response.framed {
 		c.stalls.begin(sentAt)
 	}
@@ -289,7 +293,7 @@
 			return
 		}
 		r.conn.served++
-		r.pool.put(r.key, r.conn, keepAliveLimit(r.Header))
+		r.pool.put(r.key, r.conn, keepAliveLimit(r.Header), r.maxIdle)
 	})
 }
 
@@ -334,7 +338,7 @@
 const reachableTimeout = 300 * time.Millisecond
 
 // Reachable reports whether the endpoint accepts connections. The connection is kept
-// in the pool for a later request.
+// in the pool for a later request, if there is no other.
 func (p *Pool) Reachable(endpoint *usher.Registration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), reachableTimeout)
 	defer cancel()
@@ -343,6 +347,6 @@
 	if err != nil {
 		return false
 	}
-	p.put(key, c, defaultIdleLimit)
+	p.put(key, c, defaultIdleLimit, 1)
 	return true
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -344,3 +345,36 @@
 		})
 	}
 }
+
+// Connections beyond what the endpoint accepts from all callers are not kept.
+func TestIdleConnectionsStayWithinLimit(t *testing.T) {
+	for _, limit := range []int{0, 1, 2} {
+		t.Run(strconv.Itoa(limit), func(t *testing.T) {
+			const requests = 5
+			e := listen(t, func(conn net.Conn, reader *bufio.Reader, n int) {
+				respondWith(okResponse(strconv.Itoa(n), "body"))(conn, reader, n)
+			})
+			pool := upstream.New(fakeCodec{})
+			var responses []*upstream.Response
+			for n := range requests {
+				response, err := pool.Send(t.Context(), &e.Registration, &upstream.Request{ID: usher.RequestID(strconv.Itoa(n)), Method: "GET", Target: "/", Host: "h", MaxIdle: limit})
+				if err != nil {
+					t.Fatal(err)
+				}
+				responses = append(responses, response)
+			}
+			for _, response := range responses {
+				_, err := io.Copy(io.Discard, response.Body)
+				response.Close(err == nil)
+			}
+			want := int64(requests)
+			if limit > 0 {
+				want = int64(limit)
+			}
+			_, _, idle := pool.Stats()
+			if diff := cmp.Diff(want, idle); diff != "" {
+				t.Error("idle connections:", diff)
+			}
+		})
+	}
+}
--- a/pkg/usher/gateway.go
+++ b/pkg/usher/gateway.go
@@ -91,10 +91,11 @@
 }
 
 // ServiceSpec is the configuration of a service's endpoints. Engine is set for
-// model engines and unset for plain services. MaxConnections is decoded from the
-// configuration but not applied.
+// model engines and unset for plain services.
 type ServiceSpec struct {
-	Name           ServiceName
+	Name ServiceName
+	// MaxConnections is how many connections one endpoint accepts from all instances
+	// together; zero means no limit.
 	MaxConnections int
 	// Slots is how many requests one engine runs concurrently if its registration
 	// states no number; zero for a plain service.
--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -54,6 +54,8 @@
 	storeAddress string
 	// maxFDs is the setting limits.max_fds, if it is not 0.
 	maxFDs int
+	// maxConnections is what each replica accepts from all gateways together, if it is not 0.
+	maxConnections int
 }
 
 // gateway is a gateway process with its settings file and its addresses. The
@@ -103,9 +105,9 @@
 	c.writeObject("config/main", map[string]any{
 		"version": c.configVersion, "routes": c.routes,
 		"services": []map[string]any{
-			{"name": "model", "max_connections": 100, "engine": map[string]any{"slots": 4, "stride": 5}},
-			{"name": "desk", "max_connections": 100},
-			{"name": "desk2", "max_connections": 100},
+			{"name": "model", "max_connections": cmp.Or(c.maxConnections, 100), "engine": map[string]any{"slots": 4, "stride": 5}},
+			{"name": "desk", "max_connections": cmp.Or(c.maxConnections, 100)},
+			{"name": "desk2", "max_connections": cmp.Or(c.maxConnections, 100)},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": tenants,
--- a/test/gateway/endless_test.go
+++ b/test/gateway/endless_test.go
@@ -21,8 +21,9 @@
 	id      string
 	address string
 
-	mu   sync.Mutex
-	open int
+	mu sync.Mutex
+	// open is the number of open connections, and most the highest that it was.
+	open, most int
 }
 
 func newScriptedReplica(t *testing.T, id string, answer func(conn net.Conn, request *http.Request)) *scriptedReplica {
@@ -64,6 +65,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.open += change
+	r.most = max(r.most, r.open)
 }
 
 // connections returns the number of open connections.
