Catch signals until the process has exited

What operators saw: a planned stop during which the settings changed, or to which a second SIGTERM came, ended with status 129 or 143 now and then although all requests had been answered and "stopped" was logged.

Cause: the handlers of SIGHUP, SIGTERM and SIGINT were removed when the command returned. A signal between that and the end of the process had its default effect.

Change: the handlers stay until the process has exited.

TestSignalDuringExitKeepsStatus failed before with "signal: hangup" and "signal: terminated", and passed three times after, with five busy loops beside it.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -89,8 +89,9 @@
 
 // MainWith runs a command line with the given commands and returns the exit status.
 func MainWith(name, description string, commands []*Command, args []string, out, errOut io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
+	// The signals are caught until the process has exited. Otherwise, one that comes while
+	// it exits would replace its status.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	err := run(ctx, name, description, commands, args, out, errOut)
 	if err == nil {
 		return ExitOK
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -144,10 +144,9 @@
 }
 
 func (p *gatewayProcess) run(signalCtx context.Context, out, _ io.Writer) error {
-	// This must come before the settings are read: SIGHUP would otherwise kill the
-	// process if the settings change during startup.
+	// This must come before the settings are read, and last until the process has exited:
+	// SIGHUP would otherwise kill it if the settings change during startup or a stop.
 	signal.Notify(p.reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(p.reloadSignals)
 	settings, err := platform.Load(p.settingsPath)
 	if err != nil {
 		return err
--- a/test/gateway/stop_test.go
+++ b/test/gateway/stop_test.go
@@ -306,3 +306,25 @@
 		t.Errorf("response %v, error %v, want status 502", response, err)
 	}
 }
+
+// A signal that comes after a stop has ended, while the process exits, ended it with the
+// status of that signal.
+func TestSignalDuringExitKeepsStatus(t *testing.T) {
+	c := newCluster(t)
+	for name, signal := range map[string]syscall.Signal{"reload": syscall.SIGHUP, "stop": syscall.SIGTERM} {
+		g := c.startGateway(name)
+		g.Signal(syscall.SIGTERM)
+		c.awaitLogged(g, "stopped")
+		for exiting := true; exiting; {
+			g.Signal(signal)
+			select {
+			case <-g.Exited():
+				exiting = false
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		if err := g.Err(); err != nil {
+			t.Errorf("with %v: %v", signal, err)
+		}
+	}
+}
