--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -292,16 +292,16 @@
 	closesConnection bool
 }
 
-// call sends a request as a caller of the platform does. header is a list of
+// newRequest returns a request as a caller of the platform sends it. header is a list of
 // names and values.
-func (g *gateway) call(ctx context.Context, method, path, id string, header ...string) callResult {
+func (g *gateway) newRequest(ctx context.Context, method, path, id string, header ...string) (*http.Request, error) {
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader(`{"a": "request"}`)
 	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callerAddress+path, body)
 	if err != nil {
-		return callResult{err: err}
+		return nil, err
 	}
 	request.Host = "site.example"
 	request.Header.Set("X-Filbertusher-Attempt-Id", id)
@@ -310,6 +310,15 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
+	return request, nil
+}
+
+// call sends a request and reads its response.
+func (g *gateway) call(ctx context.Context, method, path, id string, header ...string) callResult {
+	request, err := g.newRequest(ctx, method, path, id, header...)
+	if err != nil {
+		return callResult{err: err}
+	}
 	transport := g.transport
 	if transport == nil {
 		transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
@@ -319,6 +328,11 @@
 	if err != nil {
 		return callResult{err: err}
 	}
+	return readResult(response)
+}
+
+// readResult reads the body of a response.
+func readResult(response *http.Response) callResult {
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	return callResult{status: response.StatusCode, header: response.Header, body: string(text), err: err, closesConnection: response.Close}
--- /dev/null
+++ b/test/gateway/soak_callers_test.go
@@ -0,0 +1,176 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"filbertusher/internal/pause"
+)
+
+// runCaller sends requests one after the other over a keep-alive connection. Some
+// requests use a revoked credential, and some are cancelled early. Caller 0 sends
+// for the busy workspace and pauses only after a failure.
+func (s *soak) runCaller(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(s.seed, uint64(number)))
+	transport := &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	target := -1
+	for n := 0; ctx.Err() == nil; n++ {
+		if target < 0 || random.IntN(6) == 0 {
+			target = random.IntN(s.size.gateways)
+		}
+		record := &requestRecord{id: fmt.Sprintf("%d-%d", number, n), gateway: target, credential: s.currentCredential(), deadline: defaultDeadline}
+		record.path = soakPaths[random.IntN(len(soakPaths))]
+		if number == 0 {
+			record.credential, record.path = "busy", "/check/x"
+		} else if random.IntN(8) == 0 {
+			record.credential = s.revokedCredential(record.credential)
+		}
+		callCtx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		if record.cancelled = number != 0 && random.IntN(20) == 0; record.cancelled {
+			time.AfterFunc(time.Duration(random.IntN(120))*time.Millisecond, cancel)
+		}
+		record.sent = time.Now()
+		record.process = s.gatewayAt(target)
+		g := *record.process
+		g.transport = transport
+		record.result = g.call(callCtx, record.method(), record.path, record.id, "X-Filbertusher-Credential", record.credential)
+		record.ended = time.Now()
+		cancel()
+		s.add(record)
+		if record.result.status == 0 && !record.cancelled {
+			// The gateway did not respond: choose one at random for the next request,
+			// as a load balancer would.
+			target = -1
+		}
+		if number != 0 || record.result.status != http.StatusOK {
+			pause.For(ctx, time.Duration(5+random.IntN(30))*time.Millisecond)
+		}
+	}
+}
+
+// revokedCredential returns any revoked credential, or fallback if there is none.
+func (s *soak) revokedCredential(fallback string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for old := range s.revokedAt {
+		return old
+	}
+	return fallback
+}
+
+// soakPaths has a path of each route.
+var soakPaths = []string{"/order/x", "/check/x", "/plan/x", "/question/x"}
+
+const (
+	// defaultDeadline is the deadline of calls, and the timeout of the routes of desks.
+	defaultDeadline = 4 * time.Second
+	// longDeadline is the timeout of the routes of models.
+	longDeadline = 15 * time.Second
+	// travelTime is how long requests of kept callers are under way. A gateway that closes a
+	// connection meanwhile gets them after that.
+	travelTime = 3 * time.Millisecond
+)
+
+// keptConn is a connection that a caller holds open. It is not one of http.Transport, which
+// repeats requests that cross the close of their connection.
+type keptConn struct {
+	net.Conn
+	reader *bufio.Reader
+	target int
+	reused bool
+}
+
+// dialKept returns a connection to a gateway, or nil if it accepts none.
+func (s *soak) dialKept(target int) *keptConn {
+	conn, err := net.DialTimeout("tcp", s.gatewayAt(target).callerAddress, time.Second)
+	if err != nil {
+		return nil
+	}
+	return &keptConn{Conn: conn, reader: bufio.NewReader(conn), target: target}
+}
+
+// isOpen reports whether the gateway has neither closed the connection nor sent anything
+// that belongs to no request.
+func (c *keptConn) isOpen() bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.reader.Peek(1)
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+// runKeptCaller sends requests on the connections that it holds open, one or four of them,
+// until they break or a response announces their end. Every third caller pauses for up to
+// several seconds between two requests. Some requests take seconds.
+func (s *soak) runKeptCaller(ctx context.Context, number int) {
+	random := rand.New(rand.NewPCG(s.seed, 1<<33+uint64(number)))
+	conns := make([]*keptConn, []int{1, 1, 4}[number%3])
+	longestPause := []time.Duration{40 * time.Millisecond, 5 * time.Second, 200 * time.Millisecond}[number%3]
+	for n := 0; ctx.Err() == nil; n++ {
+		conn := &conns[random.IntN(len(conns))]
+		if *conn != nil && !(*conn).isOpen() {
+			if buffered := (*conn).reader.Buffered(); buffered > 0 {
+				s.t.Errorf("gateway %d sent %d bytes on an idle connection", (*conn).target, buffered)
+			}
+			_ = (*conn).Close()
+			*conn = nil
+		}
+		if *conn == nil {
+			*conn = s.dialKept(random.IntN(s.size.gateways))
+		}
+		if *conn == nil {
+			pause.For(ctx, 20*time.Millisecond)
+			continue
+		}
+		record := &requestRecord{id: fmt.Sprintf("kept%d-%d", number, n), path: soakPaths[random.IntN(len(soakPaths))], credential: s.currentCredential()}
+		if s.sendKept(*conn, record, random); record.result.err != nil || record.result.closesConnection {
+			_ = (*conn).Close()
+			*conn = nil
+		}
+		pause.For(ctx, time.Duration(random.Int64N(int64(longestPause))))
+	}
+	for _, conn := range conns {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}
+}
+
+// sendKept sends a request on a connection and records its result.
+func (s *soak) sendKept(conn *keptConn, record *requestRecord, random *rand.Rand) {
+	record.deadline = defaultDeadline
+	longestWork := 3 * time.Second
+	if record.path == "/plan/x" || record.path == "/question/x" {
+		record.deadline, longestWork = longDeadline, 6*time.Second
+	}
+	workTime := time.Duration(0)
+	if random.IntN(5) == 0 {
+		workTime = time.Duration(random.Int64N(int64(longestWork)))
+	}
+	// The process is the one that accepted the connection: it is replaced after it has ended.
+	record.gateway, record.process, record.reused = conn.target, s.gatewayAt(conn.target), conn.reused
+	conn.reused = true
+	request, err := record.process.newRequest(context.Background(), record.method(), record.path, record.id, "X-Filbertusher-Credential", record.credential,
+		"X-Filbertusher-Deadline-Ms", fmt.Sprint(record.deadline.Milliseconds()), workTimeHeader, fmt.Sprint(workTime.Milliseconds()))
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	time.Sleep(travelTime)
+	record.sent = time.Now()
+	_ = conn.SetDeadline(record.sent.Add(record.deadline + waitTimeout))
+	record.result = callResult{err: request.Write(conn)}
+	if record.result.err == nil {
+		var response *http.Response
+		if response, record.result.err = http.ReadResponse(conn.reader, request); record.result.err == nil {
+			record.result = readResult(response)
+		}
+	}
+	record.ended = time.Now()
+	s.add(record)
+}
