--- a/test/gateway/soak_stops_test.go
+++ b/test/gateway/soak_stops_test.go
@@ -4,8 +4,12 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
+	"maps"
 	"math/rand/v2"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,7 +24,6 @@
 var (
 	stopsSeeds    = flag.Int("soak.stops", 2, "number of seeds of planned stops to play in addition to the regression seeds")
 	stopsTime     = flag.Duration("soak.stopsTime", 15*time.Second, "how long gateways are stopped for each seed")
-	graceSlack    = flag.Duration("soak.graceSlack", 2*time.Second, "how much longer than its grace period a stop may last, for machines without a processor for each process")
 	largeSeeds    = flag.Int("soak.large", 1, "number of seeds of planned stops to play on a large site")
 	largeGateways = flag.Int("soak.gateways", 16, "number of gateways of the large site")
 )
@@ -123,8 +126,9 @@
 		timer := time.AfterFunc(time.Duration(random.Int64N(int64(soakGrace))), func() { g.Signal(next) })
 		defer timer.Stop()
 	}
+	waited := waitedForProcessor(g)
 	err := g.Err()
-	if took := time.Since(signalled); took > soakGrace+raceExitDelay+*graceSlack {
+	if took := time.Since(signalled); took > soakGrace+raceExitDelay+<-waited {
 		s.t.Errorf("a graceful stop took %v since %s:\n%s", took, signalled.UTC().Format("05.000"), stopLog(g))
 	}
 	// Before the program's own code runs, a signal ends the process.
@@ -135,6 +139,47 @@
 	s.restartGateway(target)
 }
 
+// waitedForProcessor returns a channel that receives, once a process has exited, how long its
+// threads have waited for a processor since the call, in total: a stop may last longer than its
+// grace period by so much.
+func waitedForProcessor(g *gateway) <-chan time.Duration {
+	result := make(chan time.Duration, 1)
+	first := runQueueDelays(g.PID())
+	go func() {
+		last := maps.Clone(first)
+		for exited := false; !exited; {
+			for thread, delay := range runQueueDelays(g.PID()) {
+				last[thread] = delay
+			}
+			select {
+			case <-g.Exited():
+				exited = true
+			case <-time.After(100 * time.Millisecond):
+			}
+		}
+		total := time.Duration(0)
+		for thread, delay := range last {
+			total += delay - first[thread]
+		}
+		result <- total
+	}()
+	return result
+}
+
+// runQueueDelays returns how long each thread of a process has waited for a processor.
+func runQueueDelays(pid int) map[string]time.Duration {
+	delays := make(map[string]time.Duration)
+	paths, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if fields := strings.Fields(string(text)); err == nil && len(fields) == 3 {
+			delay, _ := time.ParseDuration(fields[1] + "ns")
+			delays[path] = delay
+		}
+	}
+	return delays
+}
+
 // stopLog returns the lines that a gateway has logged about its stop.
 func stopLog(g *gateway) string {
 	var lines []string
