Let callers of the soak send streams one right after the other

A caller has to be busy with a stream until long after the signal and then to send another long request.

--- a/test/gateway/soak_callers_test.go
+++ b/test/gateway/soak_callers_test.go
@@ -104,13 +104,27 @@
 	return ok && timeout.Timeout()
 }
 
-// runKeptCaller sends requests on the connections that it holds open, one or four of them,
-// until they break or a response announces their end. Every third caller pauses for up to
-// several seconds between two requests. Some requests take seconds.
+// keptCallerKinds are the kinds of kept callers: how many connections they have, how long they
+// pause at most between two requests, and whether they send only streams that take seconds.
+// The last kind still sends requests long after the signal to stop, since the header of the
+// response before was sent before it.
+var keptCallerKinds = []struct {
+	conns        int
+	longestPause time.Duration
+	onlyLong     bool
+}{
+	{conns: 1, longestPause: 40 * time.Millisecond},
+	{conns: 1, longestPause: 5 * time.Second},
+	{conns: 4, longestPause: 200 * time.Millisecond},
+	{conns: 1, longestPause: 10 * time.Millisecond, onlyLong: true},
+}
+
+// runKeptCaller sends requests on the connections that it holds open until they break or a
+// response announces their end.
 func (s *soak) runKeptCaller(ctx context.Context, number int) {
 	random := rand.New(rand.NewPCG(s.seed, 1<<33+uint64(number)))
-	conns := make([]*keptConn, []int{1, 1, 4}[number%3])
-	longestPause := []time.Duration{40 * time.Millisecond, 5 * time.Second, 200 * time.Millisecond}[number%3]
+	kind := &keptCallerKinds[number%len(keptCallerKinds)]
+	conns := make([]*keptConn, kind.conns)
 	for n := 0; ctx.Err() == nil; n++ {
 		conn := &conns[random.IntN(len(conns))]
 		if *conn != nil && !(*conn).isOpen() {
@@ -128,11 +142,14 @@
 			continue
 		}
 		record := &requestRecord{id: fmt.Sprintf("kept%d-%d", number, n), path: soakPaths[random.IntN(len(soakPaths))], credential: s.currentCredential()}
-		if s.sendKept(*conn, record, random); record.result.err != nil || record.result.closesConnection {
+		if kind.onlyLong {
+			record.path = soakPaths[len(soakPaths)-1-n%2]
+		}
+		if s.sendKept(*conn, record, workTime(record, random, kind.onlyLong)); record.result.err != nil || record.result.closesConnection {
 			_ = (*conn).Close()
 			*conn = nil
 		}
-		pause.For(ctx, time.Duration(random.Int64N(int64(longestPause))))
+		pause.For(ctx, time.Duration(random.Int64N(int64(kind.longestPause))))
 	}
 	for _, conn := range conns {
 		if conn != nil {
@@ -141,16 +158,24 @@
 	}
 }
 
+// workTime returns how long the execution of a request takes: no longer than usual, or up to
+// several seconds for one in five and if long is set.
+func workTime(record *requestRecord, random *rand.Rand, long bool) time.Duration {
+	switch {
+	case !long && random.IntN(5) > 0:
+		return 0
+	case record.isStream():
+		return time.Second + time.Duration(random.Int64N(int64(5*time.Second)))
+	default:
+		return time.Duration(random.Int64N(int64(3 * time.Second)))
+	}
+}
+
 // sendKept sends a request on a connection and records its result.
-func (s *soak) sendKept(conn *keptConn, record *requestRecord, random *rand.Rand) {
+func (s *soak) sendKept(conn *keptConn, record *requestRecord, workTime time.Duration) {
 	record.deadline = defaultDeadline
-	longestWork := 3 * time.Second
-	if record.path == "/plan/x" || record.path == "/question/x" {
-		record.deadline, longestWork = longDeadline, 6*time.Second
-	}
-	workTime := time.Duration(0)
-	if random.IntN(5) == 0 {
-		workTime = time.Duration(random.Int64N(int64(longestWork)))
+	if record.isStream() {
+		record.deadline = longDeadline
 	}
 	// The process is the one that accepted the connection: it is replaced after it has ended.
 	record.gateway, record.process, record.reused = conn.target, s.gatewayAt(conn.target), conn.reused
--- a/test/gateway/soak_check_test.go
+++ b/test/gateway/soak_check_test.go
@@ -119,7 +119,7 @@
 
 // completeResponse returns the body that the replicas send for a request.
 func (s *soak) completeResponse(record *requestRecord) string {
-	if record.path == "/plan/x" || record.path == "/question/x" {
+	if record.isStream() {
 		return s.models[0].completeStream(record.id)
 	}
 	return fmt.Sprintf("answer to %s %s", record.id, record.path)
--- a/test/gateway/soak_stops_test.go
+++ b/test/gateway/soak_stops_test.go
@@ -43,7 +43,7 @@
 	for i := range *stopsSeeds {
 		seeds = append(seeds, soakSeed{number: *soakFirst + uint64(i)})
 	}
-	playStops(t, seeds, (*soakParallel+1)/2, siteSize{gateways: 3, replicas: 3, callers: 8, keptCallers: 18})
+	playStops(t, seeds, (*soakParallel+1)/2, siteSize{gateways: 3, replicas: 3, callers: 8, keptCallers: 5 * len(keptCallerKinds)})
 }
 
 // TestStopsSoakOfLargeSite plays planned operations on a site with many gateways.
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -62,7 +62,7 @@
 	playSeeds(t, seeds, *soakParallel, func(t *testing.T, seed soakSeed) {
 		size := smallSite
 		if seed.set >= faultsWithKeptCallers {
-			size.keptCallers = 6
+			size.keptCallers = 2 * len(keptCallerKinds)
 		}
 		s := newSoak(t, seed.number, size)
 		s.set = seed.set
@@ -179,6 +179,9 @@
 	return http.MethodPost
 }
 
+// isStream reports whether the response is a stream of events.
+func (r *requestRecord) isStream() bool { return r.path == "/plan/x" || r.path == "/question/x" }
+
 func newSoak(t *testing.T, seed uint64, size siteSize) *soak {
 	t.Helper()
 	s := &soak{
