--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -144,10 +144,9 @@
 }
 
 func (p *gatewayProcess) run(signalCtx context.Context, out, _ io.Writer) error {
-	// This must come before the settings are read: SIGHUP would otherwise kill the
-	// process if the settings change during startup.
+	// This must come before the settings are read, and last until the process has exited:
+	// SIGHUP would otherwise kill it if the settings change during startup or a stop.
 	signal.Notify(p.reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(p.reloadSignals)
 	settings, err := platform.Load(p.settingsPath)
 	if err != nil {
 		return err
@@ -279,6 +278,7 @@
 		service := &index.Table.Services[i]
 		p.scheduler.SetEndpoints(service.Name, dispatch.ServiceSpec{
 			Engine: service.Engine, Slots: service.Slots, TokensPerEvent: service.TokensPerEvent,
+			MaxConnections: service.MaxConnections,
 		}, snapshot.ByService[service.Name])
 	}
 }
@@ -327,7 +327,7 @@
 	parts := newComponents()
 	parts.run(func() error { return p.gateway.Serve(requestCtx, listeners.callers) })
 	parts.run(func() error { return p.serveReadiness(ctx, listeners.readiness) })
-	parts.run(func() error { return p.peering.Serve(ctx, peerrpc.NewServer(listeners.peers)) })
+	parts.run(func() error { return p.peering.Serve(ctx, peerrpc.NewServer(listeners.peers, peerrpc.SmallMessages)) })
 	parts.run(func() error { return p.admin.Serve(ctx) })
 	parts.run(func() error { return p.watcher.Run(ctx) })
 	parts.run(func() error { return p.recorder.Run(ctx, noPeers{}) })
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -77,10 +77,13 @@
 // set for inference engines, and unset for plain services. Slots is the number of
 // requests that an endpoint runs concurrently, unless its registration has a number
 // of its own. TokensPerEvent is the number of tokens in each event of a stream.
+// MaxConnections is the number of connections that an endpoint accepts from all instances
+// together; zero means no limit.
 type ServiceSpec struct {
 	Engine         bool
 	Slots          int
 	TokensPerEvent int
+	MaxConnections int
 }
 
 // Scheduler assigns requests to the endpoints of all services on behalf of one
@@ -105,9 +108,9 @@
 	name      usher.ServiceName
 	spec      ServiceSpec
 	endpoints map[usher.EndpointName]*endpoint
-	// pauses are those that endpoints have asked for. They outlast a registration that
-	// vanishes and comes back.
-	pauses    map[usher.EndpointName]pause
+	// pauses are until when incarnations of endpoints want no requests from this
+	// instance. They outlast a registration that vanishes and comes back.
+	pauses    map[incarnation]time.Time
 	queue     waitQueue
 	grantRate rate
 	// arrivalRates are the arrival rates of requests by rank.
@@ -252,7 +255,7 @@
 	svc := s.services[name]
 	if svc == nil {
 		svc = &service{
-			name: name, endpoints: make(map[usher.EndpointName]*endpoint), pauses: make(map[usher.EndpointName]pause),
+			name: name, endpoints: make(map[usher.EndpointName]*endpoint), pauses: make(map[incarnation]time.Time),
 			routes: make(map[usher.RouteName]*routeStats), prefixes: newPrefixTable(),
 		}
 		s.services[name] = svc
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -8,6 +8,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,17 +112,26 @@
 }
 
 // MarkLeaving records that an incarnation of an endpoint states that it leaves, whatever
-// its registration says, and reports whether that is news.
+// its registration says, also if that is gone just now. It reports whether that is news.
 func (r *Roster) MarkLeaving(endpoint *usher.Registration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	current, known := r.endpoints[endpoint.Name]
-	if !known || current.Leaving || current.Born != endpoint.Born || current.Address != endpoint.Address {
+	current, registered := r.endpoints[endpoint.Name]
+	departure, departed := r.departed[endpoint.Name]
+	if !registered && departed {
+		current = departure.registration
+	}
+	if !registered && !departed || current.Leaving || current.Born != endpoint.Born || current.Address != endpoint.Address {
 		return false
 	}
 	current.Leaving = true
-	r.endpoints[endpoint.Name] = current
-	r.notify(usher.EndpointChange{Registration: current, Usable: true}, "said so in a response")
+	if registered {
+		r.endpoints[endpoint.Name] = current
+	} else {
+		departure.registration = current
+		r.departed[endpoint.Name] = departure
+	}
+	r.notify(usher.EndpointChange{Registration: current, Usable: registered}, "said so in a response")
 	r.publish()
 	return true
 }
@@ -290,11 +300,19 @@
 func (r *Roster) State() any {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var leaving []usher.EndpointName
+	for name, endpoint := range r.endpoints {
+		if endpoint.Leaving {
+			leaving = append(leaving, name)
+		}
+	}
+	slices.Sort(leaving)
 	return struct {
-		Era       usher.StoreEra `json:"era"`
-		Revision  uint64         `json:"revision"`
-		Endpoints int            `json:"endpoints"`
-		Lapsed    int            `json:"lapsed"`
-		Withheld  int            `json:"withheld"`
-	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), len(r.lapsedSince), len(r.withheld)}
+		Era       usher.StoreEra       `json:"era"`
+		Revision  uint64               `json:"revision"`
+		Endpoints int                  `json:"endpoints"`
+		Leaving   []usher.EndpointName `json:"leaving"`
+		Lapsed    int                  `json:"lapsed"`
+		Withheld  int                  `json:"withheld"`
+	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), leaving, len(r.lapsedSince), len(r.withheld)}
 }
--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -54,6 +54,8 @@
 	storeAddress string
 	// maxFDs is the setting limits.max_fds, if it is not 0.
 	maxFDs int
+	// maxConnections is what each replica accepts from all gateways together, if it is not 0.
+	maxConnections int
 }
 
 // gateway is a gateway process with its settings file and its addresses. The
@@ -103,9 +105,9 @@
 	c.writeObject("config/main", map[string]any{
 		"version": c.configVersion, "routes": c.routes,
 		"services": []map[string]any{
-			{"name": "model", "max_connections": 100, "engine": map[string]any{"slots": 4, "stride": 5}},
-			{"name": "desk", "max_connections": 100},
-			{"name": "desk2", "max_connections": 100},
+			{"name": "model", "max_connections": cmp.Or(c.maxConnections, 100), "engine": map[string]any{"slots": 4, "stride": 5}},
+			{"name": "desk", "max_connections": cmp.Or(c.maxConnections, 100)},
+			{"name": "desk2", "max_connections": cmp.Or(c.maxConnections, 100)},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": tenants,
@@ -159,15 +161,28 @@
 	_ = response.Body.Close()
 }
 
-// clusterCount is the number of clusters created by this process.
-var clusterCount atomic.Uint32
+// loopbackCount is the number of loopback addresses that this process has assigned.
+var loopbackCount atomic.Uint32
 
 // newLoopbackIP returns a loopback address that is derived from the process ID and
-// the number of the cluster. Clusters that run concurrently, in this or in another
-// test process, therefore don't take each other's ports.
+// the number of those before. Clusters and replicas that run concurrently, in this or in
+// another test process, therefore don't take each other's ports, nor one that a crashed
+// replica has left.
 func newLoopbackIP() string {
 	const hosts = 250
-	return fmt.Sprintf("127.%d.%d.3", 2+os.Getpid()%hosts, clusterCount.Add(1)%hosts)
+	number := loopbackCount.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%hosts, number/hosts%hosts, 3+number%hosts)
+}
+
+// listenAlone listens on a loopback address of its own until the test ends.
+func listenAlone(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", newLoopbackIP()+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
 }
 
 // freeAddresses returns n different addresses on which no process listens.
@@ -292,16 +307,16 @@
 	closesConnection bool
 }
 
-// call sends a request as a caller of the platform does. header is a list of
+// newRequest returns a request as a caller of the platform sends it. header is a list of
 // names and values.
-func (g *gateway) call(ctx context.Context, method, path, id string, header ...string) callResult {
+func (g *gateway) newRequest(ctx context.Context, method, path, id string, header ...string) (*http.Request, error) {
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader(`{"a": "request"}`)
 	}
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.callerAddress+path, body)
 	if err != nil {
-		return callResult{err: err}
+		return nil, err
 	}
 	request.Host = "site.example"
 	request.Header.Set("X-Filbertusher-Attempt-Id", id)
@@ -310,6 +325,15 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
+	return request, nil
+}
+
+// call sends a request and reads its response.
+func (g *gateway) call(ctx context.Context, method, path, id string, header ...string) callResult {
+	request, err := g.newRequest(ctx, method, path, id, header...)
+	if err != nil {
+		return callResult{err: err}
+	}
 	transport := g.transport
 	if transport == nil {
 		transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true}
@@ -319,6 +343,11 @@
 	if err != nil {
 		return callResult{err: err}
 	}
+	return readResult(response)
+}
+
+// readResult reads the body of a response.
+func readResult(response *http.Response) callResult {
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
 	return callResult{status: response.StatusCode, header: response.Header, body: string(text), err: err, closesConnection: response.Close}
