Answer on idle connections while an entry stops

Entries tell callers now that they may use an idle connection for 2 s, and keep it open for as long in a stop, as gateways do since. A request on it is refused with 503, or runs if its deadline lies before the end.

TestStoppingEntryAnswersOnIdleConnections without the call of SetIdleTime: both connections were closed under the requests.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -17,6 +17,9 @@
 	maxHeaderBytes = 16 << 10
 	// idleTimeout is how long an idle keep-alive connection stays open.
 	idleTimeout = 2 * time.Minute
+	// toldIdleTime is how long callers are told that they may use an idle connection. It
+	// makes a stop longer, as a request may be on its way on any of them.
+	toldIdleTime = 2 * time.Second
 )
 
 // Paths of the HTTP API for callers.
@@ -66,6 +69,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}, func(conn *drain.Conn) net.Conn { return &callerConn{Conn: conn} }, e.options.Connections)
+	server.SetIdleTime(toldIdleTime)
 	e.server.Store(server)
 	// Shutdown makes Serve return at once; it has to be waited for.
 	shutdown := sync.OnceValue(func() error { return e.shutdown(server, times) })
--- a/test/control/drain_test.go
+++ b/test/control/drain_test.go
@@ -1,13 +1,11 @@
 package control_test
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os/exec"
 	"strings"
@@ -358,39 +356,10 @@
 	if err := entry.AwaitReady(ctx); err != nil {
 		t.Fatal(err)
 	}
-	conn, err := net.Dial("tcp", entry.Address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	post := func(tokens int) {
-		t.Helper()
-		body, _ := json.Marshal(engine.ChatRequest{
-			Model: string(fleet.Model), MaxTokens: tokens, Stream: true, Messages: []engine.Message{{Role: "user", Content: "a prompt"}},
-		})
-		_, err := fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-			fleet.TokenOf(fleet.Regenfass), len(body), body)
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
-	receive := func() (int, string) {
-		t.Helper()
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer response.Body.Close()
-		body, err := io.ReadAll(response.Body)
-		if err != nil {
-			t.Errorf("status %d, then %v after %d bytes", response.StatusCode, err, len(body))
-		}
-		return response.StatusCode, string(body)
-	}
+	caller := dialEntry(t, entry)
 	const firstTokens, secondTokens = 40, 400
-	post(firstTokens)
-	if _, err := reader.Peek(1); err != nil {
+	caller.post(t, firstTokens, true, "")
+	if _, err := caller.reader.Peek(1); err != nil {
 		t.Fatal(err)
 	}
 	before := dispatched(ctx, t, cluster.Companions[0])
@@ -401,12 +370,12 @@
 	// The request is sent before the stream ends: a connection on which nothing waits then is
 	// closed. It is read after the stream, which lasts for two seconds.
 	time.Sleep(time.Second)
-	post(secondTokens)
-	if status, body := receive(); status != http.StatusOK || !strings.Contains(body, "[DONE]") {
-		t.Fatalf("status %d, body %s", status, body)
+	caller.post(t, secondTokens, true, "")
+	if got := caller.receive(); got.err != nil || got.status != http.StatusOK || !strings.Contains(got.body, "[DONE]") {
+		t.Fatalf("%+v", *got)
 	}
-	if status, body := receive(); status != http.StatusServiceUnavailable || !strings.Contains(body, string(usher.RefusalLeaving)) {
-		t.Errorf("status %d, want 503 because the instance leaves; body %s", status, body)
+	if got := caller.receive(); got.err != nil || got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, string(usher.RefusalLeaving)) {
+		t.Errorf("want 503 because the instance leaves: %+v", *got)
 	}
 	if diff := cmp.Diff(before, dispatched(ctx, t, cluster.Companions[0])); diff != "" {
 		t.Error("the request was sent to an endpoint:", diff)
--- a/test/control/late_begin_test.go
+++ b/test/control/late_begin_test.go
@@ -23,6 +23,7 @@
 type answer struct {
 	status     int
 	retryAfter string
+	keepAlive  string
 	body       string
 	err        error
 }
