Show the stop of an entry in counters and dumps

The counts of the event drained are counters of `entry` now, as those of gateways are, so that a stop can be watched while it lasts. The dump of an entry says how long it still waits, and that of a companion how long each entry that stops does.

--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -44,6 +44,8 @@
 	LongInPrefill   int         `json:"longInPrefill"`
 	Tiers           []TierState `json:"tiers"`
 	Counts          Counts      `json:"counts"`
+	// StopsInMs has how much longer each entry waits that stops, negative after its end.
+	StopsInMs map[usher.Incarnation]int64 `json:"stopsInMs,omitempty"`
 }
 
 // State returns the admission state for the diagnostic dump.
@@ -54,7 +56,10 @@
 	state := State{
 		Limit: c.limiter.limit(), Running: c.running, Waiting: c.queue.count, WaitingTokens: int(c.queue.tokens),
 		PrefillPerToken: prefill.String(), DecodePerToken: decode.String(),
-		LongInPrefill: c.prefill.longPrompts, Counts: c.counts,
+		LongInPrefill: c.prefill.longPrompts, Counts: c.counts, StopsInMs: make(map[usher.Incarnation]int64),
+	}
+	for entry, end := range c.stops.byEntry {
+		state.StopsInMs[entry] = end.Sub(c.now()).Milliseconds()
 	}
 	for _, t := range c.queue.tiers {
 		state.Tiers = append(state.Tiers, TierState{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,7 +112,7 @@
 		reservationLimiter: rate.NewLimiter(rate.Limit(options.ReservationRate), options.ReservationRate),
 		ids:                record.NewIDSource(options.Incarnation),
 		keySlotViews:       newKeySlotViews(),
-		stop:               newStop(),
+		stop:               newStop(group),
 		metrics: metrics{
 			requests:         group.Counter("requests").Add,
 			answered:         group.Counter("answered").Add,
@@ -144,6 +144,7 @@
 		"limits":        e.limiter.State(),
 		"decisions":     e.recentDecisions.state(),
 		"inFlight":      e.inFlight.count.Load(),
+		"stopsInMs":     e.stop.timeLeft().Milliseconds(),
 		"inFlightIds":   e.inFlight.ids(maxReportedRequests),
 	}
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"expvar"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"filbertusher/internal/drain"
+	"filbertusher/internal/telemetry"
 	"filbertusher/internal/wire"
 	"filbertusher/pkg/usher"
 )
@@ -47,11 +49,11 @@
 	cut      context.CancelCauseFunc
 	// taken counts the requests that arrived during the stop and were accepted, refused
 	// those that were refused because of it, and cutCount those that were cut.
-	taken, refused, cutCount atomic.Int64
+	taken, refused, cutCount *expvar.Int
 }
 
-func newStop() *stop {
-	s := &stop{}
+func newStop(group *telemetry.Metrics) *stop {
+	s := &stop{taken: group.Counter("takenWhileStopping"), refused: group.Counter("refusedByStop"), cutCount: group.Counter("cutByStop")}
 	s.requests, s.cut = context.WithCancelCause(context.Background())
 	return s
 }
@@ -147,7 +149,7 @@
 		e.awaitCut(server)
 	}
 	open, closedIdle := server.Connections()
-	e.Log.Info().Int64("taken", e.stop.taken.Load()).Int64("refused", e.stop.refused.Load()).Int64("cut", e.stop.cutCount.Load()).
+	e.Log.Info().Int64("taken", e.stop.taken.Value()).Int64("refused", e.stop.refused.Value()).Int64("cut", e.stop.cutCount.Value()).
 		Int64("closedIdle", closedIdle).Int("open", open).Int64("tookMs", time.Since(began).Milliseconds()).Msg("drained")
 	return err
 }
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"filbertusher/internal/drain"
+	"filbertusher/internal/telemetry"
 )
 
 // Guards against callers that come back to the instance that refused them, because the load
@@ -14,7 +15,7 @@
 		{time.Minute, time.Minute - 10*time.Second, time.Minute},
 		{-time.Second, stoppingRetryAfter, stoppingRetryAfter},
 	} {
-		s := newStop()
+		s := newStop(telemetry.NewMetrics(t.Name()))
 		s.schedule.Store(&drain.Stop{NoticedBy: time.Now().Add(test.noticedIn)})
 		if got := s.retryAfter(); got < test.atLeast || got > test.atMost {
 			t.Errorf("noticed in %v: Retry-After %v", test.noticedIn, got)
@@ -24,7 +25,7 @@
 
 // Guards against companions that are told of no stop, or of none any more at its end.
 func TestTimeLeftOfStop(t *testing.T) {
-	s := newStop()
+	s := newStop(telemetry.NewMetrics(t.Name()))
 	if got := s.timeLeft(); got != 0 {
 		t.Errorf("before a stop: %v", got)
 	}
