Test the events lateDispatch and drained

A graceful stop that finishes a stream has to end with drained and nothing cut, at both processes, and a request that is begun for an entry that stops with lateDispatch.

--- a/test/control/drain_test.go
+++ b/test/control/drain_test.go
@@ -338,6 +338,9 @@
 		if err := member.Err(); err != nil {
 			t.Errorf("%s: %v\n%s", member.Name, err, member.Log())
 		}
+		if _, err := member.Await(ctx, "drained", "cut=0"); err != nil {
+			t.Error(err)
+		}
 	}
 }
 
--- a/test/control/late_begin_test.go
+++ b/test/control/late_begin_test.go
@@ -171,6 +171,9 @@
 			expectOutcome(t, "running when the stop began", running, wholeAnswer)
 			expectOutcome(t, "too long to begin", long, leavingNotRun)
 			expectOutcome(t, "short enough to begin", short, wholeAnswer)
+			if _, err := companion.Await(ctx, "lateDispatch", "begins=true"); err != nil {
+				t.Error(err)
+			}
 			<-entry.Exited()
 			if err := entry.Err(); err != nil {
 				t.Errorf("%v\n%s", err, entry.Log())
