Order equal endpoints differently at each instance

Gateways that had just started chose the same one of several equal endpoints for requests with the same ID, since ties are no longer decided by the order of a map. The hash now covers the instance's name.

TestInstancesOrderEqualEndpointsDifferently failed before (40 instances chose one endpoint).

--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -198,7 +198,7 @@
 	var bestCost time.Duration
 	left := request.Deadline.Sub(now)
 	deadlineMet := false
-	tieSeed := svc.tieSeed(request)
+	tieSeed := s.tieSeed(svc, request)
 	for _, e := range svc.endpoints {
 		if !request.mayUse(e) {
 			continue
--- a/internal/dispatch/repeat_test.go
+++ b/internal/dispatch/repeat_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"filbertusher/pkg/usher"
 )
 
 // Endpoints of the same cost were chosen in the order of a map, so that simulations with fixed
@@ -50,3 +53,20 @@
 		}
 	}
 }
+
+// Instances that have just started chose the same endpoint for the same ID.
+func TestInstancesOrderEqualEndpointsDifferently(t *testing.T) {
+	counts := make(map[usher.EndpointName]int)
+	for i := range 40 {
+		s := New(Options{Self: fmt.Sprint("g", i)})
+		s.SetEndpoints("s", ServiceSpec{}, []usher.Registration{{Name: "a", Service: "s"}, {Name: "b", Service: "s"}})
+		grant := s.TryAdmit(newRequest("same"))
+		if grant == nil {
+			t.Fatal("the request got no endpoint")
+		}
+		counts[grant.Endpoint.Name]++
+	}
+	if counts["a"] < 5 || counts["b"] < 5 {
+		t.Errorf("40 instances chose %v", counts)
+	}
+}
--- a/internal/dispatch/tie.go
+++ b/internal/dispatch/tie.go
@@ -9,10 +9,10 @@
 // tieMultiplier is the 64-bit golden ratio.
 const tieMultiplier = 0x9e3779b97f4a7c15
 
-// tieSeed returns the seed of tieOrder for a request. It changes with each grant, so that
-// requests with the same ID are spread too.
-func (svc *service) tieSeed(request *Request) uint64 {
-	return chainHash(uint64(svc.counts.granted), string(request.ID))
+// tieSeed returns the seed of tieOrder for a request. It differs between instances and
+// changes with each grant, so that requests with the same ID are spread too.
+func (s *Scheduler) tieSeed(svc *service, request *Request) uint64 {
+	return chainHash(chainHash(uint64(svc.counts.granted), s.options.Self), string(request.ID))
 }
 
 // tieOrder returns the pseudorandom number by which endpoints of the same cost are ordered.
