Let the gateways of a test learn of a leaving before it counts requests

TestReplicaThatShedsAndLeavesDuringPlannedRestart counted requests from half a second after the start of the callers on, whether or not a gateway had had an answer of the replica that leaves by then.

The gateways now prefer the replica that leaves, the test waits until each has logged it, and counts from half a second after that.

--- a/test/gateway/statement_test.go
+++ b/test/gateway/statement_test.go
@@ -221,19 +221,26 @@
 	c := newCluster(t)
 	c.revokeMS = 60000
 	leaving, serving := newReplica(t, "d1", "desk", 8, 0), newReplica(t, "d2", "desk", 8, 0)
-	c.register(leaving, "ready")
+	// Gateways prefer the other replica, so that each soon learns from it that it leaves.
+	serving.processingTime = 150 * time.Millisecond
 	c.register(serving, "ready")
 	gateways := []*gateway{c.startGateway("g1"), c.startGateway("g2")}
 	for _, g := range gateways {
 		c.awaitServed(g, "/check/a")
 	}
-	leaving.update(func() { leaving.shedFor, leaving.leaving, leaving.arrivals = "1", true, nil })
+	leaving.update(func() { leaving.shedFor, leaving.leaving = "1", true })
+	c.register(leaving, "ready")
 	stop := make(chan struct{})
+	stopCallers := sync.OnceFunc(func() { close(stop) })
+	defer stopCallers()
 	var group sync.WaitGroup
 	results := make([][]callResult, len(gateways))
 	for i, g := range gateways {
 		group.Go(func() { results[i] = g.callMany(stop, 4, "/check/a") })
 	}
+	for _, g := range gateways {
+		c.awaitLogged(g, "endpointChanged", "endpoint=d1", "leaving=true")
+	}
 	time.Sleep(500 * time.Millisecond)
 	// The replica serves requests that it gets nevertheless, so that only its statement
 	// keeps them away.
@@ -243,7 +250,7 @@
 		t.Error(err)
 	}
 	time.Sleep(500 * time.Millisecond)
-	close(stop)
+	stopCallers()
 	group.Wait()
 	if got := leaving.arrivalsSince(since); got != 0 {
 		t.Errorf("the replica that leaves received %d requests", got)
