Apply the configured limits on request headers

Callers within a limit above 64 KiB got 431, those that take longer than 5 s were cut, and lower limits had no effect. A caller that sent a few bytes after an earlier request and no more kept its connection for good: nothing bounds how long net/http waits for the first four bytes.

Cause: the limits of http.Server can't change while it runs.

Change: the connection of a caller counts and times what is read before a request is complete, by the limits of the configuration in force, up to 1 MiB. A header that is too long gets 431, and what the caller still sends is read for a moment, so that the response is not reset. The rest of a header that waits when its time is over is read, as this process may have been suspended. drain.New keeps the ConnState that it is given.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -77,8 +77,8 @@
 	since time.Time
 }
 
-// New returns a server that runs server, whose Handler and ConnState it replaces. wrap
-// may return another connection that embeds the given one; it may be nil.
+// New returns a server that runs server, whose Handler and ConnState it wraps. wrap may
+// return another connection that embeds the given one; it may be nil.
 func New(server *http.Server, wrap func(*Conn) net.Conn, limits Limits) *Server {
 	if wrap == nil {
 		wrap = func(c *Conn) net.Conn { return c }
@@ -93,7 +93,13 @@
 		}
 		handler.ServeHTTP(w, r)
 	})
-	server.ConnState = s.track
+	connState := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		s.track(conn, state)
+		if connState != nil {
+			connState(conn, state)
+		}
+	}
 	return s
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,9 +80,6 @@
 	// readyProofFraction is the fraction of Options.MaxRevocationDelay up to which that
 	// proof may age while the instance reports itself ready.
 	readyProofFraction = 0.6
-	// headerReadTimeout bounds how long a caller may take to send the request
-	// header.
-	headerReadTimeout = 5 * time.Second
 	// defaultIdleTimeout closes idle connections where the configuration sets no
 	// idle timeout.
 	defaultIdleTimeout = time.Minute
@@ -91,8 +88,6 @@
 	defaultMaxBodyBytes = 8 << 20
 	// defaultBodyMemory bounds the buffered bodies where no limit is given.
 	defaultBodyMemory = 64 << 20
-	// maxHeaderBytes bounds the request header.
-	maxHeaderBytes = 64 << 10
 	// idleSweepInterval is the interval between scans for idle connections.
 	idleSweepInterval = time.Second
 )
@@ -117,8 +112,8 @@
 	g.options.Store(&options)
 	g.intake = intake.New(cmp.Or(options.RequestMemory, defaultBodyMemory))
 	g.responseMemory = semaphore.NewWeighted(cmp.Or(options.ResponseMemory, defaultBodyMemory))
-	g.http = &http.Server{Handler: g, ReadHeaderTimeout: headerReadTimeout, MaxHeaderBytes: maxHeaderBytes}
-	g.server = drain.New(g.http, nil, options.Connections)
+	g.http = &http.Server{Handler: g, MaxHeaderBytes: maxHeaderBytes, ConnState: trackCallerConn}
+	g.server = drain.New(g.http, g.newCallerConn, options.Connections)
 	return g
 }
 
@@ -172,9 +167,6 @@
 // the configuration allows. http.Server.IdleTimeout is not used because it can't
 // be changed while the server runs.
 func (g *Gateway) closeExpiredIdle() {
-	limit := defaultIdleTimeout
-	if index := g.Routes.Index(); index != nil && index.Table.Limits.IdleTimeout > 0 {
-		limit = index.Table.Limits.IdleTimeout
-	}
+	limit := cmp.Or(max(g.callerLimits().IdleTimeout, 0), defaultIdleTimeout)
 	g.server.CloseIdle(time.Now().Add(-limit))
 }
--- a/pkg/usher/gateway.go
+++ b/pkg/usher/gateway.go
@@ -106,8 +106,7 @@
 }
 
 // CallerLimits bound the size of callers' requests and the time they may take to
-// send them. The gateway applies MaxBodyBytes and IdleTimeout; for the header it has
-// fixed bounds of its own instead of MaxHeaderBytes and HeaderTimeout.
+// send them. Zero stands for the gateway's own limit.
 type CallerLimits struct {
 	MaxHeaderBytes int
 	MaxBodyBytes   int64
--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -56,6 +56,8 @@
 	maxFDs int
 	// maxConnections is what each replica accepts from all gateways together, if it is not 0.
 	maxConnections int
+	// limits bound what callers may send.
+	limits map[string]any
 }
 
 // gateway is a gateway process with its settings file and its addresses. The
@@ -74,6 +76,7 @@
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
 	c := &cluster{t: t, ip: newLoopbackIP(), memory: store.NewMemory(), credentials: []string{"key"}, revokeMS: 2000}
+	c.limits = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
 	server := store.New(c.memory, store.RateLimits{ReadsPerSecond: 2000, WritesPerSecond: 400}, 0)
 	c.store = httptest.NewServer(server.Handler())
 	t.Cleanup(c.store.Close)
@@ -109,7 +112,7 @@
 			{"name": "desk", "max_connections": cmp.Or(c.maxConnections, 100)},
 			{"name": "desk2", "max_connections": cmp.Or(c.maxConnections, 100)},
 		},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"limits":  c.limits,
 		"tenants": tenants,
 	})
 }
