--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -144,10 +144,9 @@
 }
 
 func (p *gatewayProcess) run(signalCtx context.Context, out, _ io.Writer) error {
-	// This must come before the settings are read: SIGHUP would otherwise kill the
-	// process if the settings change during startup.
+	// This must come before the settings are read, and last until the process has exited:
+	// SIGHUP would otherwise kill it if the settings change during startup or a stop.
 	signal.Notify(p.reloadSignals, syscall.SIGHUP)
-	defer signal.Stop(p.reloadSignals)
 	settings, err := platform.Load(p.settingsPath)
 	if err != nil {
 		return err
@@ -382,7 +381,10 @@
 	serveFor := min(readinessDelay, grace/2)
 	// Connections that wait to be accepted get their first requests until AcceptTime after
 	// Shutdown was called.
-	stop := drain.Stop{Began: startedAt, TakesUntil: startedAt.Add(serveFor + drain.AcceptTime - signalDelay), EndsAt: startedAt.Add(grace - shutdownMargin)}
+	stop := drain.Stop{
+		Began: startedAt, NoticedBy: startedAt.Add(serveFor),
+		TakesUntil: startedAt.Add(serveFor + drain.AcceptTime - signalDelay), EndsAt: startedAt.Add(grace - shutdownMargin),
+	}
 	p.gateway.StartDraining(stop)
 	time.Sleep(serveFor)
 	drainCtx, cancel := context.WithDeadline(context.Background(), stop.EndsAt)
--- a/internal/dispatch/pause.go
+++ b/internal/dispatch/pause.go
@@ -1,18 +1,22 @@
 package dispatch
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"filbertusher/pkg/usher"
 )
 
-// pause is the time during which an incarnation of an endpoint wants no requests from
-// this instance.
-type pause struct {
-	born  int64
-	until time.Time
+// incarnation identifies one start of an endpoint.
+type incarnation struct {
+	name usher.EndpointName
+	born int64
 }
 
+func incarnationOf(r *usher.Registration) incarnation { return incarnation{name: r.Name, born: r.Born} }
+
 // Pause sends no requests to the grant's endpoint for a time that the endpoint has asked
 // for. A later, shorter pause has no effect. Queued requests that only paused endpoints
 // could serve are refused if they would not wait until the first pause ends.
@@ -21,16 +25,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	svc, now := g.service, s.options.Now()
-	for name, p := range svc.pauses {
-		if !now.Before(p.until) {
-			delete(svc.pauses, name)
-		}
+	maps.DeleteFunc(svc.pauses, func(_ incarnation, until time.Time) bool { return !now.Before(until) })
+	paused, until := incarnationOf(&g.Endpoint), now.Add(wait)
+	if svc.pauses[paused].After(until) {
+		return
 	}
-	until := now.Add(wait)
-	if p, known := svc.pauses[g.Endpoint.Name]; known && p.born == g.Endpoint.Born && p.until.After(until) {
+	svc.pauses[paused] = until
+	s.refuseBlocked(svc, now)
+}
+
+// refuseBlocked refuses the queued requests that would not wait until the first pause ends.
+// The caller must hold s.mu.
+func (s *Scheduler) refuseBlocked(svc *service, now time.Time) {
+	if len(svc.pauses) == 0 {
 		return
 	}
-	svc.pauses[g.Endpoint.Name] = pause{born: g.Endpoint.Born, until: until}
 	for _, w := range slices.Collect(svc.queue.inOrder()) {
 		if svc.isBlockedByPauses(w, now) {
 			s.refuseQueued(svc, w, now, &svc.counts.refused, pausedMessage)
@@ -44,11 +53,11 @@
 
 // pausedUntil returns the end of the endpoint's pause, or the zero time.
 func (svc *service) pausedUntil(e *endpoint, now time.Time) time.Time {
-	p, known := svc.pauses[e.Name]
-	if !known || p.born != e.Born || !now.Before(p.until) {
+	until := svc.pauses[incarnationOf(&e.Registration)]
+	if !now.Before(until) {
 		return time.Time{}
 	}
-	return p.until
+	return until
 }
 
 // firstPauseEnd returns when the first of the endpoints that the request may use takes
@@ -75,6 +84,14 @@
 	return svc.firstPauseEnd(w.request, now).After(w.waitDeadline)
 }
 
+// RetryAfterPause returns how long the caller of a request that endpoints have rejected
+// should wait while all that serve it are paused, or 0.
+func (s *Scheduler) RetryAfterPause(request *Request) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.service(request.Service).retryAfterPause(request, s.options.Now())
+}
+
 // retryAfterPause returns how long a refused caller should wait while all endpoints are
 // paused, or 0. Random jitter keeps callers that were refused at the same moment from
 // retrying all at the end of the pause.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,11 @@
 	defaultBodyMemory = 64 << 20
 	// idleSweepInterval is the interval between scans for idle connections.
 	idleSweepInterval = time.Second
+	// maxToldIdleTime bounds how long callers are told that they may use an idle connection.
+	// A stopping instance keeps idle connections open for that time, since a request may be
+	// on its way on any of them. It serves for longer in any case, until the load balancer
+	// has noticed, so that only connections that were busy then make a stop last longer.
+	maxToldIdleTime = 2 * time.Second
 )
 
 // Gateway is the HTTP server for callers in one process.
@@ -114,6 +119,7 @@
 	g.responseMemory = semaphore.NewWeighted(cmp.Or(options.ResponseMemory, defaultBodyMemory))
 	g.http = &http.Server{Handler: g, MaxHeaderBytes: maxHeaderBytes, ConnState: trackCallerConn}
 	g.server = drain.New(g.http, g.newCallerConn, options.Connections)
+	g.server.SetIdleTime(maxToldIdleTime)
 	return g
 }
 
@@ -168,5 +174,6 @@
 // be changed while the server runs.
 func (g *Gateway) closeExpiredIdle() {
 	limit := cmp.Or(max(g.callerLimits().IdleTimeout, 0), defaultIdleTimeout)
+	g.server.SetIdleTime(min(maxToldIdleTime, limit-idleSweepInterval))
 	g.server.CloseIdle(time.Now().Add(-limit))
 }
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -33,10 +33,10 @@
 	case earlier.mayHaveRun:
 		h.terminate(relay, unknownRefusal(ctx, last.detail()))
 	case ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded):
-		h.terminate(relay, cancelledRefusal(ctx))
+		h.terminate(relay, h.gateway.cancelledRefusal(ctx))
 	default:
-		refusal := usher.NewRefusal(usher.RefusalOverloaded, last.detail())
-		h.terminate(relay, refusal.WithRetryAfter(defaultRetryAfter))
+		wait := max(defaultRetryAfter, h.gateway.Scheduler.RetryAfterPause(h.dispatchRequest(nil, false)))
+		h.terminate(relay, usher.NewRefusal(usher.RefusalOverloaded, last.detail()).WithRetryAfter(wait))
 	}
 }
 
--- a/test/gateway/outage_test.go
+++ b/test/gateway/outage_test.go
@@ -47,6 +47,7 @@
 		Endpoints []struct {
 			Slots    int           `json:"slots"`
 			Entitled int           `json:"entitled"`
+			PausedMs int64         `json:"pausedMs"`
 			Own      dispatch.Load `json:"own"`
 		} `json:"endpoints"`
 	} `json:"dispatch"`
