Let a gateway that is alone keep all connections to an endpoint

A single gateway before an endpoint that accepts as many connections as it has slots opened one for almost every request. It uses its idle connections first, so that those in use and idle together never exceed the number.

Measured: TestSingleInstanceKeepsConnections: 1 idle connection was kept before, 4 are after. Several gateways still open more connections than before the limit, where it is near the slots.

--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -14,10 +14,11 @@
 
 // maxIdle returns how many idle connections each of the instances may keep to the endpoint,
 // so that those of all leave room for the requests that run there. Each may keep one, because
-// a request that needs a new connection takes longer; 0 means no limit.
+// a request that needs a new connection takes longer; 0 means no limit. An instance that is
+// alone uses its idle connections before it opens others.
 func (e *endpoint) maxIdle(spec ServiceSpec, instances int) int {
-	if spec.MaxConnections <= 0 {
-		return 0
+	if spec.MaxConnections <= 0 || instances == 1 {
+		return max(spec.MaxConnections, 0)
 	}
 	return max(1, (spec.MaxConnections-e.slotCount(spec))/instances)
 }
--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -47,3 +47,14 @@
 		}
 	}
 }
+
+// An instance that is alone opened a connection for almost every request where an endpoint
+// accepts as many as it has slots.
+func TestSingleInstanceKeepsConnections(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newTestScheduler(func() time.Time { return now }, ServiceSpec{Engine: true, Slots: 4, MaxConnections: 4}, "a")
+	grant := s.TryAdmit(&Request{Service: "s", Arrived: now, Target: now.Add(time.Second), Deadline: now.Add(time.Minute)})
+	if grant.MaxIdle != 4 {
+		t.Errorf("%d idle connections are kept, want 4", grant.MaxIdle)
+	}
+}
