Give a late response a second to be read

The deadline for reading a whole response was a second after the caller's own. A process that is short of processor time may write the response only then, and closed the connection instead.

Change: the second begins when the response is written, if that is later.

TestUnreadResponsesFreeMemory passes as before.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -132,14 +133,12 @@
 	}
 }
 
-// abandonedAt returns when the caller no longer waits for the response. A caller that states
-// no time, or a longer one than requests are run, still gets the usual time to read it.
-func (h *requestHandler) abandonedAt() time.Time {
+// readBy returns when the caller has to have read a response that is written now: when it no
+// longer waits. A caller that states no time, or a longer one than requests are run, still
+// gets the usual time, and one whose response is late a moment.
+func (h *requestHandler) readBy() time.Time {
 	usual := h.arrived.Add(min(cmp.Or(h.headers.Wait, defaultTimeout), defaultTimeout))
-	if h.deadline.After(usual) {
-		return h.deadline
-	}
-	return usual
+	return slices.MaxFunc([]time.Time{usual, h.deadline, time.Now()}, time.Time.Compare).Add(writeDeadlineMargin)
 }
 
 // deliver writes a buffered response to the caller.
@@ -148,7 +147,7 @@
 	h.status = response.status
 	h.outcome = usher.OutcomeRan
 	// The memory of the body is held until the caller has read it.
-	_ = http.NewResponseController(h.writer).SetWriteDeadline(h.abandonedAt().Add(writeDeadlineMargin))
+	_ = http.NewResponseController(h.writer).SetWriteDeadline(h.readBy())
 	header := h.writer.Header()
 	for name, values := range h.gateway.Codec.EncodeResponse(response.header) {
 		header[name] = values
