--- a/internal/command/entry.go
+++ b/internal/command/entry.go
@@ -90,7 +90,7 @@
 	selector := endpointset.Subset{Self: p.incarnation, Zone: usher.AvailabilityZone(p.zone), Size: p.endpointsPerService, OtherZones: min(p.endpointsPerService, p.endpointsInOtherZones)}
 	p.config.SetEndpointSelector(selector.Choose)
 	peerAddress := peerListener.Addr().String()
-	if err := p.syncConfig(ctx, peerrpc.NewServer(peerListener), peerAddress, ""); err != nil {
+	if err := p.syncConfig(ctx, peerrpc.NewServer(peerListener, peerrpc.LargeMessages), peerAddress, ""); err != nil {
 		return err
 	}
 	placer := placement.New(p.config, usher.AvailabilityZone(p.zone))
@@ -121,7 +121,7 @@
 	p.parts.run(func() error { return recorder.Run(ctx, server.RecordPeers()) })
 	p.parts.run(func() error {
 		defer cancel()
-		err := server.Serve(serveCtx, listener, p.drainTimeout)
+		err := server.Serve(serveCtx, listener, entry.StopTimes{ReadinessDelay: p.readinessDelay, Grace: p.drainTimeout})
 		drainCtx, cancelDrain := context.WithTimeout(ctx, p.drainTimeout)
 		defer cancelDrain()
 		recorder.Close(drainCtx)
@@ -131,7 +131,6 @@
 	go p.awaitConfig(ctx)
 	go func() {
 		p.awaitStop(signalCtx)
-		time.Sleep(p.readinessDelay)
 		stopServing()
 	}()
 	return p.parts.wait()
--- a/internal/companion/keyed.go
+++ b/internal/companion/keyed.go
@@ -214,7 +214,7 @@
 		e.key.Finish(nil, usher.NewAttemptRefusal(usher.RefusalOverloaded, "the endpoint is full"))
 		return e.companion.notAdmitted(e.request, nil)
 	}
-	if refusal.Kind == usher.RefusalLeaving {
+	if refusal.Kind == usher.RefusalLeaving && e.companion.drain.isDraining() {
 		return e.redirectToSuccessor()
 	}
 	return e.refuse(e.confirmNotRun(refusal))
@@ -285,7 +285,7 @@
 	if !ok {
 		return true
 	}
-	peer := peerrpc.New(address)
+	peer := peerrpc.New(address, peerrpc.LargeMessages)
 	defer peer.Close()
 	for range pingAttempts {
 		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
--- a/internal/companion/reserve.go
+++ b/internal/companion/reserve.go
@@ -110,7 +110,7 @@
 // reserve waits for capacity for a request whose body stays at the entry.
 func (c *Companion) reserve(args *wire.ReserveArgs) wire.ReserveReply {
 	header := args.Header
-	header.Deadline = time.Now().Add(args.Remaining)
+	header.Deadline, header.Entry = time.Now().Add(args.Remaining), args.Incarnation
 	ctx, cancel := context.WithDeadline(context.Background(), header.Deadline)
 	defer cancel()
 	if c.drain.isDraining() {
@@ -120,7 +120,15 @@
 	if !ok {
 		return c.notGranted(usher.NewRefusal(usher.RefusalCancelled, "the request has a reservation already"))
 	}
-	slot, err := c.Admission.Admit(ctx, &header)
+	admitCtx, stop := c.drain.contextUntilDrain(ctx)
+	defer stop()
+	slot, err := c.Admission.Admit(admitCtx, &header)
+	if c.drain.isDraining() && ctx.Err() == nil {
+		if err == nil {
+			slot.Release()
+		}
+		err = usher.NewRefusal(usher.RefusalLeaving, "the endpoint is leaving")
+	}
 	if err != nil {
 		c.reservations.end(header.ID, opened)
 		return c.notGranted(toRefusal(err, usher.OutcomeNotRun))
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -66,6 +66,7 @@
 // last suspension for being unreachable, or 0 once a first event has arrived since.
 type endpoint struct {
 	usher.Registration
+	nameHash           uint64
 	own                Load
 	others             Load
 	awaitingFirstEvent map[*Grant]struct{}
@@ -99,19 +100,7 @@
 }
 
 func newEndpoint(r usher.Registration) *endpoint {
-	return &endpoint{Registration: r, awaitingFirstEvent: make(map[*Grant]struct{}), ratio: 1, eventInterval: baseEventInterval}
-}
-
-// slotCount returns how many requests the endpoint runs concurrently.
-func (e *endpoint) slotCount(spec ServiceSpec) int {
-	switch {
-	case e.Slots > 0:
-		return e.Slots
-	case spec.Slots > 0:
-		return spec.Slots
-	default:
-		return 1
-	}
+	return &endpoint{Registration: r, nameHash: hashOf(r.Name), awaitingFirstEvent: make(map[*Grant]struct{}), ratio: 1, eventInterval: baseEventInterval}
 }
 
 // canSend reports whether this instance may send one more request to the endpoint.
@@ -128,7 +117,7 @@
 	slots := e.slotCount(svc.spec)
 	free := slots - e.own.Running - e.others.Running
 	if !svc.spec.Engine {
-		return e.own.Running < max(minPlainSlots, e.guaranteed) && free > -slots*plainQueueFactor
+		return e.own.Running < max(minPlainSlots, e.guaranteed) && free > -e.queueLength(svc.spec)
 	}
 	if free <= 0 {
 		return false
@@ -197,6 +186,7 @@
 	var bestCost time.Duration
 	left := request.Deadline.Sub(now)
 	deadlineMet := false
+	tieSeed := svc.tieSeed(request)
 	for _, e := range svc.endpoints {
 		if !request.mayUse(e) {
 			continue
@@ -214,7 +204,7 @@
 		if request.Target.After(now) && first > request.Target.Sub(now) {
 			cost += latePenalty
 		}
-		if best == nil || cost < bestCost {
+		if best == nil || cost < bestCost || cost == bestCost && e.tieOrder(tieSeed) < best.tieOrder(tieSeed) {
 			best, bestCost = e, cost
 		}
 	}
@@ -265,6 +255,9 @@
 	// and Running the number of requests that were known to run there at that time.
 	ExpectedFirstEvent time.Duration
 	Running            int
+	// MaxIdle is the number of idle connections to the endpoint that this instance may keep
+	// afterwards; zero means no limit.
+	MaxIdle int
 
 	scheduler      *Scheduler
 	service        *service
@@ -285,6 +278,7 @@
 	tokens := max(0, request.Prompt-svc.prefixes.cachedTokens(request.Prefix, e.Name))
 	g := &Grant{
 		Endpoint: e.Registration, ExpectedFirstEvent: e.timeToFirstEvent(svc, tokens, now), Running: e.own.Running + e.others.Running,
+		MaxIdle:   e.maxIdle(svc.spec, len(s.members)),
 		scheduler: s, service: svc, endpoint: e, rank: clampRank(request.Rank), route: request.Route, prompt: tokens, sent: now,
 	}
 	if !request.Started {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -26,7 +26,7 @@
 	e.metrics.requests(1)
 	defer e.inFlight.add(req)()
 	if e.isTooLate(req.Deadline) {
-		e.respond(w, req, nil, usher.NewRefusal(usher.RefusalLeaving, "the instance is stopping").WithRetryAfter(stoppingRetryAfter))
+		e.respond(w, req, nil, usher.NewRefusal(usher.RefusalLeaving, "the instance is stopping"))
 		return
 	}
 	if err := e.Recorder.CheckCapacity(req.Rank); err != nil {
@@ -40,6 +40,7 @@
 		return
 	}
 	defer permit.Release()
+	e.stop.countArrival()
 	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
 	defer cancel()
 	res := e.dispatch(ctx, req)
@@ -129,7 +130,7 @@
 }
 
 func (e *Entry) caller() wire.Caller {
-	return wire.Caller{Incarnation: e.options.Incarnation, ConfigVersion: e.Config.Current().Version, Peer: e.options.Peer}
+	return wire.Caller{Incarnation: e.options.Incarnation, ConfigVersion: e.Config.Current().Version, Peer: e.options.Peer, StopsIn: e.stop.timeLeft()}
 }
 
 func asRefusal(err error) *usher.Refusal {
