--- a/test/gateway/soak_callers_test.go
+++ b/test/gateway/soak_callers_test.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"filbertusher/internal/pause"
@@ -78,12 +80,14 @@
 )
 
 // keptConn is a connection that a caller holds open. It is not one of http.Transport, which
-// repeats requests that cross the close of their connection.
+// repeats requests that cross the close of their connection. usableUntil is the end of the
+// time that the gateway has named in its latest Keep-Alive, or zero.
 type keptConn struct {
 	net.Conn
-	reader *bufio.Reader
-	target int
-	reused bool
+	reader      *bufio.Reader
+	target      int
+	reused      bool
+	usableUntil time.Time
 }
 
 // dialKept returns a connection to a gateway, or nil if it accepts none.
@@ -95,9 +99,12 @@
 	return &keptConn{Conn: conn, reader: bufio.NewReader(conn), target: target}
 }
 
-// isOpen reports whether the gateway has neither closed the connection nor sent anything
-// that belongs to no request.
+// isOpen reports whether the connection may be used for another request: its time has not
+// passed, and the gateway has neither closed it nor sent anything that belongs to no request.
 func (c *keptConn) isOpen() bool {
+	if !c.usableUntil.IsZero() && time.Now().After(c.usableUntil) {
+		return false
+	}
 	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
 	_, err := c.reader.Peek(1)
 	timeout, ok := err.(net.Error)
@@ -198,4 +205,12 @@
 	}
 	record.ended = time.Now()
 	s.add(record)
+	conn.usableUntil = time.Time{}
+	if seconds, found := strings.CutPrefix(record.result.header.Get("Keep-Alive"), "timeout="); found {
+		idleTime, err := strconv.Atoi(seconds)
+		if err != nil {
+			s.t.Error(err)
+		}
+		conn.usableUntil = record.ended.Add(time.Duration(idleTime) * time.Second)
+	}
 }
