--- a/test/gateway/soak_check_test.go
+++ b/test/gateway/soak_check_test.go
@@ -22,6 +22,10 @@
 	violations := 0
 	for _, record := range s.requests {
 		outcomes[s.outcome(record)]++
+		if record.crossedClose(s.executionsOf(record.id)) {
+			s.t.Logf("%s was sent %v after the signal to stop and crossed the close of its connection: %v", record.id,
+				record.sent.Sub(s.stopSignals[record.process]).Round(time.Millisecond), record.result.err)
+		}
 		if violation := s.violation(record); violation != "" {
 			if violations++; violations <= 5 {
 				s.t.Errorf("%s: %s by g%d, sent %s, ended %s: %d %.80q %v", violation, record.id, record.gateway,
