Read the bodies of requests that a stopping gateway refuses

Callers that sent a long body late in a stop, and that send all of it before they read, got a reset: the gateway refused by the header, left the body unread, and net/http closed the connection half a second later. They can't tell that from a request that has run.

accept refused before it read the body. Now the body is read and dropped first, as that of a request without memory is, until bodyReadTimeout or the end of the stop.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -114,6 +114,7 @@
 	h.headers = headers
 	h.deadline = h.arrived.Add(h.callerTimeout())
 	if !h.gateway.server.Takes(h.deadline) {
+		h.discardBody(index)
 		return h.gateway.stoppingRefusal()
 	}
 	if refusal := h.readBody(index); refusal != nil {
@@ -189,10 +190,7 @@
 	if h.request.Body == nil || h.request.ContentLength == 0 {
 		return nil
 	}
-	limit := index.Table.Limits.MaxBodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
+	limit := maxBodyBytes(index)
 	if h.request.ContentLength > limit {
 		return usher.NewRefusal(usher.RefusalTooLarge, "the body is too long")
 	}
@@ -210,6 +208,28 @@
 	return nil
 }
 
+func maxBodyBytes(index *routing.Index) int64 {
+	if limit := index.Table.Limits.MaxBodyBytes; limit > 0 {
+		return limit
+	}
+	return defaultMaxBodyBytes
+}
+
+// discardBody reads the body of a request that is refused because this instance stops. Closing
+// the connection before would reset it while its caller sends.
+func (h *requestHandler) discardBody(index *routing.Index) {
+	stop := h.gateway.server.Stop()
+	if stop == nil || h.request.Body == nil || h.request.ContentLength == 0 {
+		return
+	}
+	until := h.arrived.Add(bodyReadTimeout)
+	if stop.EndsAt.Before(until) {
+		until = stop.EndsAt
+	}
+	_ = http.NewResponseController(h.writer).SetReadDeadline(until)
+	intake.Discard(h.request.Header, http.MaxBytesReader(h.writer, h.request.Body, maxBodyBytes(index)))
+}
+
 // memoryWait returns the context of waiting for memory for the body. Callers abandon a
 // request of which nothing is read in a third of their time.
 func (h *requestHandler) memoryWait() (context.Context, context.CancelFunc) {
