Give a request without an endpoint the same wait on all processors

On arm64 it stays the largest, on x86-64 it becomes the smallest, so that such a request waited longer there.

TestNoEndpointHasNoTimeToFirstEvent passes on arm64 with and without the change; it could not be run on x86-64 here. Nothing else changes on arm64.

--- a/internal/dispatch/endpoint_test.go
+++ b/internal/dispatch/endpoint_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -51,3 +52,14 @@
 		t.Errorf("%d of 40 slots are guaranteed beside an instance without demand, want 20", e.guaranteed)
 	}
 }
+
+// The time to first event without an endpoint was negative on some processors.
+func TestNoEndpointHasNoTimeToFirstEvent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newTestScheduler(func() time.Time { return now }, ServiceSpec{Engine: true, Slots: 1}, "a")
+	request := newRequest("1")
+	request.Tried = []usher.EndpointName{"a"}
+	if got := s.minTimeToFirstEvent(s.service("s"), request, now); got != math.MaxInt64 {
+		t.Errorf("got %v", got)
+	}
+}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -264,7 +264,8 @@
 }
 
 // minTimeToFirstEvent returns the shortest expected time to first event of all
-// endpoints that the request may use, with a safety margin.
+// endpoints that the request may use, with a safety margin, or the longest time that can be
+// represented if there is none.
 func (s *Scheduler) minTimeToFirstEvent(svc *service, request *Request, now time.Time) time.Duration {
 	shortest := time.Duration(math.MaxInt64)
 	for _, e := range svc.endpoints {
@@ -272,6 +273,10 @@
 			shortest = min(shortest, e.timeToFirstEvent(svc, request.Prompt, now))
 		}
 	}
+	if shortest == math.MaxInt64 {
+		// The product is out of range, and what it is converted to depends on the processor.
+		return shortest
+	}
 	return time.Duration(float64(shortest) * firstEventMargin)
 }
 
