--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -23,6 +23,9 @@
 	unreservedBytes = 64 << 10
 	// firstReadBytes is the size of the first buffer for a body.
 	firstReadBytes = 4 << 10
+	// minReadTime is how long a caller may at least take to read a whole response. It is
+	// written late where this process was short of processor time.
+	minReadTime = 5 * time.Second
 )
 
 // bufferedResponse is a response whose body was read completely.
@@ -134,11 +137,11 @@
 }
 
 // readBy returns when the caller has to have read a response that is written now: when it no
-// longer waits. A caller that states no time, or a longer one than requests are run, still
-// gets the usual time, and one whose response is late a moment.
+// longer waits, and not before minReadTime. A caller that states no time, or a longer one
+// than requests are run, gets the usual time.
 func (h *requestHandler) readBy() time.Time {
 	usual := h.arrived.Add(min(cmp.Or(h.headers.Wait, defaultTimeout), defaultTimeout))
-	return slices.MaxFunc([]time.Time{usual, h.deadline, time.Now()}, time.Time.Compare).Add(writeDeadlineMargin)
+	return slices.MaxFunc([]time.Time{usual, h.deadline, time.Now().Add(minReadTime)}, time.Time.Compare)
 }
 
 // deliver writes a buffered response to the caller.
