Run late requests that end with their route's timeout before the stop does

Callers that wait for long got 503 late in a stop, although the timeout of the route would have ended their requests before the gateway stops: the check before the body is read compared only how long the caller waits, and the one after it, with the route's timeout, came too late.

The first check uses the route's timeout too.

TestStoppingGatewayRunsLateRequestOfRouteWithShortTimeout failed before with status 503 and passes with the change; so do the other TestStopping tests of test/gateway, one run.

--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -112,7 +112,7 @@
 		return asRefusal(err)
 	}
 	h.headers = headers
-	h.deadline = h.arrived.Add(h.callerTimeout())
+	h.setDeadline(index.Route(h.request.Host, h.request.URL.EscapedPath()))
 	if !h.gateway.server.Takes(h.deadline) {
 		h.discardBody(index)
 		return h.gateway.stoppingRefusal()
@@ -123,7 +123,7 @@
 	if refusal := h.resolve(); refusal != nil {
 		return refusal
 	}
-	h.setDeadline()
+	h.setDeadline(h.route)
 	if !h.gateway.server.Takes(h.deadline) {
 		return h.gateway.stoppingRefusal()
 	}
@@ -307,10 +307,11 @@
 	return defaultTimeout
 }
 
-func (h *requestHandler) setDeadline() {
+// setDeadline sets the deadline of a request on a route, which is nil if none is known.
+func (h *requestHandler) setDeadline(route *usher.Route) {
 	timeout := h.callerTimeout()
-	if h.route.Timeout > 0 {
-		timeout = min(timeout, h.route.Timeout)
+	if route != nil && route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
 	}
 	h.deadline = h.arrived.Add(timeout)
 }
--- a/test/gateway/stop_late_test.go
+++ b/test/gateway/stop_late_test.go
@@ -181,3 +181,25 @@
 		t.Errorf("%v, %v, want status 200", response, err)
 	}
 }
+
+// Requests that come late and whose route's timeout ends within the grace were refused, since only
+// the time that their callers wait was compared.
+func TestStoppingGatewayRunsLateRequestOfRouteWithShortTimeout(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.routes = append(c.routes, map[string]any{"name": "quick-order", "hostname": "site.example", "path_prefix": "/quick-order/", "route_type": "unsafe", "timeout_ms": 1500, "target_latency_ms": 300, "priority": 2, "service": "desk", "max_attempts": 1})
+	c.configure()
+	desk, model := newReplica(t, "d1", "desk", 4, 0), newReplica(t, "m1", "model", 4, 12)
+	c.register(desk, "ready")
+	c.register(model, "ready")
+	g := c.startGateway("g1")
+	c.awaitServed(g, "/quick-order/a")
+	c.awaitServed(g, "/question/a")
+	caller := busyCaller(c, g, model, lastTaken+500*time.Millisecond)
+	if err := caller.post("/quick-order/a", "late", 0); err != nil {
+		t.Fatal(err)
+	}
+	if response, err := caller.receive(); err != nil || response.StatusCode != http.StatusOK {
+		t.Errorf("%v, %v, want status 200", response, err)
+	}
+}
