Let one slow answer not stand for its route in a stop

A request now weighs at most as much as all before it together.

Also from the review: idle connections are kept where callers may use them for less than a second, which they can't be told, and a companion ignores the end of an entry without an incarnation.

--- a/internal/companion/rpc.go
+++ b/internal/companion/rpc.go
@@ -14,7 +14,8 @@
 // observeCaller uses what a caller states about itself.
 func (r *RPC) observeCaller(caller *wire.Caller) {
 	r.companion.Config.ReportPeerVersion(caller.Peer, caller.ConfigVersion)
-	if caller.StopsIn > 0 {
+	// Without an incarnation it would be the end of this process.
+	if caller.StopsIn > 0 && caller.Incarnation != "" {
 		r.companion.Admission.EndWork(caller.Incarnation, caller.StopsIn)
 	}
 }
--- a/internal/dispatch/stop.go
+++ b/internal/dispatch/stop.go
@@ -30,11 +30,8 @@
 	if s.stopAt.IsZero() || !request.Deadline.After(s.stopAt) {
 		return true
 	}
-	needed := svc.expectedDuration(request)
-	if request.Resumable {
-		needed = min(needed, s.minTimeToFirstEvent(svc, request, now))
-	}
-	return needed <= s.stopAt.Sub(now)
+	left := s.stopAt.Sub(now)
+	return svc.expectedDuration(request) <= left || request.Resumable && s.minTimeToFirstEvent(svc, request, now) <= left
 }
 
 // refuseUnfinishable refuses the queued requests that can't be finished any more.
@@ -82,20 +79,23 @@
 
 // meanDuration is by how much a route's recent requests took longer than the model predicted,
 // weighted by their duration and by age. A stop cuts long requests, and what short ones took says
-// little about those. weighted is the sum of the ratios times the durations, in seconds, and took
-// that of the durations.
-type meanDuration struct{ weighted, took float64 }
+// little about those. weights is the sum of the weights in seconds, and weighted that of the ratios
+// times the weights.
+type meanDuration struct{ weighted, weights float64 }
 
+// add adds a request. It weighs at most as much as all before it together, so that a single slow
+// answer doesn't stand for its route.
 func (d *meanDuration) add(took, predicted time.Duration) {
 	const kept = 1 - 1.0/durationHistory
-	d.weighted = d.weighted*kept + took.Seconds()*took.Seconds()/predicted.Seconds()
-	d.took = d.took*kept + took.Seconds()
+	weight := min(took.Seconds(), d.weights+predicted.Seconds())
+	d.weighted = d.weighted*kept + weight*took.Seconds()/predicted.Seconds()
+	d.weights = d.weights*kept + weight
 }
 
 // ratio returns the mean, or 1 if no request has ended yet.
 func (d *meanDuration) ratio() float64 {
-	if d.took == 0 {
+	if d.weights == 0 {
 		return 1
 	}
-	return d.weighted / d.took
+	return d.weighted / d.weights
 }
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -129,9 +129,9 @@
 	return nil
 }
 
-// SetIdleTime sets how long callers are told that they may use an idle connection, in whole
-// seconds. Shorter times are not told. Without it Shutdown closes idle connections at once, and
-// a request that crosses the close gets no answer.
+// SetIdleTime sets how long callers may use an idle connection, which they are told in whole
+// seconds if it is at least one. Without it Shutdown closes idle connections at once, and a
+// request that crosses the close gets no answer.
 func (s *Server) SetIdleTime(idle time.Duration) { s.idleTime.Store(int64(idle)) }
 
 // IdleTime returns the time that SetIdleTime has set.
@@ -186,8 +186,8 @@
 		l.stop()
 	}
 	idleTime := time.Duration(0)
-	if told := s.IdleTime(); told >= time.Second {
-		idleTime = told + idleMargin
+	if usable := s.IdleTime(); usable > 0 {
+		idleTime = usable + idleMargin
 	}
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,7 @@
 	defaultBodyMemory = 64 << 20
 	// idleSweepInterval is the interval between scans for idle connections.
 	idleSweepInterval = time.Second
-	// maxToldIdleTime bounds how long callers are told that they may use an idle connection.
+	// maxToldIdleTime bounds how long callers may use an idle connection by what they are told.
 	// A stopping instance keeps idle connections open for that time, since a request may be
 	// on its way on any of them. It serves for longer in any case, until the load balancer
 	// has noticed, so that only connections that were busy then make a stop last longer.
