--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -350,5 +350,5 @@
 const retryAfter = time.Second
 
 func overloadedRefusal() *usher.Refusal {
-	return usher.NewRefusal(usher.RefusalOverloaded, "the waiting room is full").WithRetryAfter(retryAfter)
+	return usher.NewRefusal(usher.RefusalOverloaded, "the endpoint's queue is full").WithRetryAfter(retryAfter)
 }
