Log how old the list of endpoints is and when a failed call of the store was begun

The hypotheses of the DRAIN incident differ in whether watches of the endpoints were answered before the request was sent, which no line told: dependencyLost named the call, not when it was begun, and requests had the age of the configuration's proof only. Requests and the dump have rosterAgeMs now, and dependencyLost has tookMs. No decision changes.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -214,7 +214,7 @@
 	}, gateway.Dependencies{
 		Codec: platform.HeaderCodec{}, Routes: p.routes, Scheduler: p.scheduler, Pool: p.pool,
 		Quota: p.quota, Budget: p.budget, Blame: p.blame, Streams: p.streams, Versions: streamorigin.NewConfirmer(p.readVersions, p.peering.ConfirmRoster), Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
-		OnLeaving: p.markLeaving, HasNotRestarted: p.watcher.HasNotRestarted, ExchangeCrashes: p.peering.ExchangeCrashes,
+		OnLeaving: p.markLeaving, RosterAge: p.watcher.RosterAge, HasNotRestarted: p.watcher.HasNotRestarted, ExchangeCrashes: p.peering.ExchangeCrashes,
 	})
 }
 
--- a/internal/discovery/dependency.go
+++ b/internal/discovery/dependency.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/boottime"
 	"filbertusher/internal/pause"
 )
 
@@ -25,7 +26,8 @@
 	lastSuccess time.Time
 }
 
-func (d *dependency) failed(ctx context.Context, call string, cause error) {
+// failed records that a call failed that was begun at started.
+func (d *dependency) failed(ctx context.Context, call string, started boottime.Time, cause error) {
 	if ctx.Err() != nil {
 		return
 	}
@@ -35,7 +37,7 @@
 		return
 	}
 	d.unavailable = true
-	d.log.Warn().Err(cause).Str("dependency", d.name).Str("call", call).Msg("dependencyLost")
+	d.log.Warn().Err(cause).Str("dependency", d.name).Str("call", call).Int64("tookMs", boottime.Since(started).Milliseconds()).Msg("dependencyLost")
 }
 
 func (d *dependency) succeeded() {
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"filbertusher/internal/boottime"
 	"filbertusher/internal/pause"
 	"filbertusher/pkg/usher"
 )
@@ -25,6 +26,7 @@
 	for ctx.Err() == nil {
 		restored := w.options.Directory.Restored()
 		self.Heartbeat++
+		started := boottime.Now()
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		err := w.options.Directory.Announce(callCtx, self)
 		var all []usher.GatewayInstance
@@ -33,7 +35,7 @@
 		}
 		cancel()
 		if err != nil {
-			w.store.failed(ctx, "instances", err)
+			w.store.failed(ctx, "instances", started, err)
 			retry.wait(ctx)
 			continue
 		}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -183,7 +183,7 @@
 		started, listed := boottime.Now(), since == 0
 		table, next, err := w.fetchRoutes(ctx, since)
 		if err != nil {
-			since = w.handleFailure(ctx, "routes", err, since, &retry)
+			since = w.handleFailure(ctx, "routes", started, err, since, &retry)
 			continue
 		}
 		w.store.succeeded()
@@ -218,7 +218,7 @@
 // from, or 0 to list again. It returns 0 if the store's history no longer reaches
 // back to since, and after several other failures in a row, because the history
 // may have been dropped meanwhile.
-func (w *Watcher) handleFailure(ctx context.Context, call string, err error, since usher.Version, retry *backoff) usher.Version {
+func (w *Watcher) handleFailure(ctx context.Context, call string, started boottime.Time, err error, since usher.Version, retry *backoff) usher.Version {
 	compacted, missing := new(usher.HistoryCompactedError), new(usher.NotFoundError)
 	switch {
 	case errors.As(err, &compacted):
@@ -226,7 +226,7 @@
 	case errors.As(err, &missing):
 		// The store is available, but holds no configuration yet.
 	default:
-		w.store.failed(ctx, call, err)
+		w.store.failed(ctx, call, started, err)
 		if retry.failures >= relistAfterFailures {
 			since = 0
 		}
@@ -267,7 +267,7 @@
 		table, version, err := w.options.Directory.Routes(callCtx)
 		cancel()
 		if err != nil {
-			w.store.failed(ctx, "proof", err)
+			w.store.failed(ctx, "proof", started, err)
 			retry.wait(ctx)
 			continue
 		}
@@ -285,7 +285,7 @@
 		started := boottime.Now()
 		changes, next, err := w.fetchEndpoints(ctx, since)
 		if err != nil {
-			since = w.handleFailure(ctx, "endpoints", err, since, &retry)
+			since = w.handleFailure(ctx, "endpoints", started, err, since, &retry)
 			continue
 		}
 		w.store.succeeded()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,8 @@
 	// HasNotRestarted reports whether an endpoint that accepts connections is still the
 	// same process. It may take seconds.
 	HasNotRestarted func(ctx context.Context, endpoint *usher.Registration) bool
+	// RosterAge returns the time since the list of endpoints was last known to be complete.
+	RosterAge func() time.Duration
 	// ExchangeCrashes exchanges with other instances what is known of crashes, within a
 	// fraction of a second.
 	ExchangeCrashes func(ctx context.Context)
--- a/internal/gateway/report.go
+++ b/internal/gateway/report.go
@@ -43,7 +43,7 @@
 	if h.workspace != nil {
 		event = event.Str("workspace", string(h.workspace.Name))
 	}
-	event.Uint64("version", uint64(h.version)).Int64("proofAgeMs", g.Routes.Age().Milliseconds()).
+	event.Uint64("version", uint64(h.version)).Int64("proofAgeMs", g.Routes.Age().Milliseconds()).Int64("rosterAgeMs", g.RosterAge().Milliseconds()).
 		Int("prompt", int(h.headers.Cost.PromptTokens)).Int("answer", int(h.headers.Cost.AnswerTokens)).Int("hint", int(h.headers.ExpectedAnswerTokens)).Int("events", h.eventCount).
 		Str("endpoint", string(h.endpoint)).Str("software", string(h.software)).Str("resumes", string(h.headers.Resumes)).Str("began", string(h.origin.Software)).Int("attempts", h.attempts).Int("inside", h.endpointRunning).
 		Int64("waitedMs", h.waited.Milliseconds()).Int64("expectedMs", h.expectedLatency.Milliseconds()).
@@ -198,6 +198,7 @@
 		Ready         bool      `json:"ready"`
 		Version       uint64    `json:"version"`
 		ProofAgeMs    int64     `json:"proofAgeMs"`
+		RosterAgeMs   int64     `json:"rosterAgeMs"`
 		FirstEvent    Quantiles `json:"firstEvent"`
 		Total         Quantiles `json:"total"`
 		Waited        Quantiles `json:"waited"`
@@ -207,7 +208,7 @@
 		LinesDropped  int64     `json:"linesDropped"`
 		CallersIdling int       `json:"callersIdling"`
 	}{
-		g.Ready(), uint64(g.Routes.Version()), g.Routes.Age().Milliseconds(),
+		g.Ready(), uint64(g.Routes.Version()), g.Routes.Age().Milliseconds(), g.RosterAge().Milliseconds(),
 		g.metrics.firstEvent.quantiles(), g.metrics.total.quantiles(), g.metrics.waited.quantiles(),
 		dialed, reused, idle, g.logLimiter.dropped.Load(), g.server.IdleCount(),
 	}
