--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -27,6 +27,11 @@
 type Faults struct {
 	// Down rejects every call before it has an effect.
 	Down bool `json:"down"`
+	// Silent leaves every call without a response, and SilentWatches every watch, until the
+	// caller gives it up. That also holds, after the fault has ended, for calls that were
+	// waiting when it began.
+	Silent        bool `json:"silent"`
+	SilentWatches bool `json:"silentWatches"`
 	// Delay is added to every call.
 	Delay usher.Duration `json:"delay"`
 	// LostResponses is how many of the following writes take effect, but have their
@@ -76,8 +81,10 @@
 	// lag is the delay after which a change to the list of instances is visible.
 	lag time.Duration
 
-	mu        sync.Mutex
-	faults    Faults
+	mu     sync.Mutex
+	faults Faults
+	// silences counts how often Faults.Silent or Faults.SilentWatches began.
+	silences  int
 	counts    Counts
 	instances []instanceList
 }
@@ -116,6 +123,9 @@
 	mux.HandleFunc("GET /control/counts", s.writeCounts)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headerEra, strconv.Itoa(int(s.memory.Era())))
+		if s.isSilent(r) {
+			awaitGivenUp(r)
+		}
 		mux.ServeHTTP(w, r)
 	})
 }
@@ -123,6 +133,35 @@
 // headerEra is in every response.
 const headerEra = "Store-Era"
 
+// isSilent reports whether a call gets no response, and counts it then.
+func (s *Server) isSilent(r *http.Request) bool {
+	if strings.HasPrefix(r.URL.Path, "/control/") {
+		return false
+	}
+	isWatch := r.URL.Query().Has("watch")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silent := s.faults.Silent || s.faults.SilentWatches && isWatch
+	if silent && isWatch {
+		s.counts.Watches++
+	}
+	return silent
+}
+
+func (s *Server) silenceCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silences
+}
+
+// awaitGivenUp waits until the caller has closed the connection, and ends the call.
+func awaitGivenUp(r *http.Request) {
+	// The server notices that only once the body was read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+	panic(http.ErrAbortHandler)
+}
+
 // admit counts a call and applies Faults.Delay, Faults.Down and the rate limit. It
 // returns false if it rejected the call.
 func (s *Server) admit(w http.ResponseWriter, limiter *rate.Limiter, count *int64) bool {
@@ -214,11 +253,15 @@
 		http.Error(w, "watch and wait_ms are needed", http.StatusBadRequest)
 		return
 	}
+	silences := s.silenceCount()
 	s.increment(&s.counts.Waiting)
 	events, revision, expired := s.memory.Watch(r.Context().Done(), usher.ObjectKey(r.PathValue("kind")+"/"), usher.Version(since), time.Duration(wait)*time.Millisecond)
 	s.mu.Lock()
 	s.counts.Waiting--
 	s.mu.Unlock()
+	if s.silenceCount() != silences {
+		awaitGivenUp(r)
+	}
 	// The store may have been restored while the watch waited.
 	w.Header().Set(headerEra, strconv.Itoa(int(s.memory.Era())))
 	if expired {
@@ -410,6 +453,9 @@
 		return
 	}
 	s.mu.Lock()
+	if (faults.Silent || faults.SilentWatches) && !s.faults.Silent && !s.faults.SilentWatches {
+		s.silences++
+	}
 	s.faults = faults
 	s.mu.Unlock()
 }
