Bound the age of the list of endpoints by lists, not by watches alone

Cause: a watch that is never answered looks like one without news, and was waited for for 6.5 s, whatever else the process had learned meanwhile. After a silent outage every gateway had such a watch.

Change: the roster has a proof, as the configuration has: a list that the store made after the proof's time. Instances share it by a digest of the registrations and take turns to renew it before it is older than half of drain_ms.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -200,11 +200,11 @@
 	p.store = client
 	p.watcher = discovery.New(discovery.Options{
 		Directory: platform.NewDirectory(client), Routes: p.routes, Roster: p.roster, Self: self, Log: p.log,
-		RewriteGrace: s.Bounds.RegistrationGrace, Heartbeat: s.HeartbeatInterval, OnInstances: p.setInstances, OnEndpointsChanged: p.updateScheduler,
+		RewriteGrace: s.Bounds.RegistrationGrace, Heartbeat: s.HeartbeatInterval, DrainTime: s.Bounds.DrainTime, OnInstances: p.setInstances, OnEndpointsChanged: p.updateScheduler,
 	})
 	p.peering = peering.New(self, s.SeedAddresses, peering.Dependencies{
 		Routes: p.routes, Roster: p.roster, Scheduler: p.scheduler, Quota: p.quota, Blame: p.blame, Streams: p.streams,
-		Log: p.log, RosterAge: p.watcher.RosterAge, OnEndpointsChanged: p.updateScheduler,
+		Log: p.log, OnEndpointsChanged: p.updateScheduler,
 	})
 	p.recorder = record.NewRecorder(record.RecorderOptions{
 		BatchInterval: recordBatchInterval, WritesPerSecond: s.StoreWritesPerSecond * recordWriteFraction, MaxBacklogBytes: s.MemoryLimitBytes / recordMemoryDivisor,
@@ -214,7 +214,7 @@
 	}, gateway.Dependencies{
 		Codec: platform.HeaderCodec{}, Routes: p.routes, Scheduler: p.scheduler, Pool: p.pool,
 		Quota: p.quota, Budget: p.budget, Blame: p.blame, Streams: p.streams, Versions: streamorigin.NewConfirmer(p.readVersions, p.peering.ConfirmRoster), Recorder: p.recorder, IDs: record.NewIDSource(self.Incarnation), Log: p.log,
-		OnLeaving: p.markLeaving, RosterAge: p.watcher.RosterAge, HasNotRestarted: p.watcher.HasNotRestarted, ExchangeCrashes: p.peering.ExchangeCrashes,
+		OnLeaving: p.markLeaving, RosterAge: p.roster.Age, HasNotRestarted: p.watcher.HasNotRestarted, ExchangeCrashes: p.peering.ExchangeCrashes,
 	})
 }
 
--- a/internal/discovery/instances.go
+++ b/internal/discovery/instances.go
@@ -43,6 +43,7 @@
 		retry.reset()
 		live := w.liveInstances(all, w.options.Directory.Era())
 		w.instanceCount.Store(int64(len(live)))
+		w.position.Store(position(live, self.Name))
 		w.options.OnInstances(ctx, live)
 		interval := w.scaled(announceInterval, maxAnnounceInterval)
 		timer := time.NewTimer(interval + rand.N(interval/4))
@@ -96,3 +97,13 @@
 	w.lastLive = live
 	return live
 }
+
+// position returns how many of the live instances come before the named one, by name.
+func position(live []usher.GatewayInstance, name string) (before int64) {
+	for _, instance := range live {
+		if instance.Name < name {
+			before++
+		}
+	}
+	return before
+}
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -40,20 +40,6 @@
 	// some have to read.
 	maxProofAge        = 900 * time.Millisecond
 	proofCheckInterval = 100 * time.Millisecond
-	// endpointsWatchWait is how long the store may hold a watch of the endpoints
-	// open.
-	endpointsWatchWait = 5 * time.Second
-	// endpointsWatchInterval is the least time between the starts of two watches
-	// of the endpoints, and maxEndpointsWatchInterval its maximum with many
-	// instances. Without it, the watches would follow each other at once, because
-	// the endpoints renew their registrations all the time.
-	endpointsWatchInterval    = 450 * time.Millisecond
-	maxEndpointsWatchInterval = 900 * time.Millisecond
-	// expiryCheckInterval is the interval between checks for endpoints that did not
-	// register again after an outage. They are dropped only while the store's last
-	// confirmation of the roster is younger than maxRosterAge.
-	expiryCheckInterval = 100 * time.Millisecond
-	maxRosterAge        = endpointsWatchWait + callTimeout
 	// minLapseOutage is the shortest outage of the store in which registrations can
 	// lapse. Endpoints renew them about every second.
 	minLapseOutage = 1800 * time.Millisecond
@@ -88,6 +74,9 @@
 	RewriteGrace time.Duration
 	// Heartbeat is about how often endpoints renew their registrations.
 	Heartbeat time.Duration
+	// DrainTime is how long an endpoint serves after it has registered as leaving. 0 stands
+	// for defaultDrainTime.
+	DrainTime time.Duration
 	// OnInstances is called with the live instances, including this one, each time
 	// they were listed.
 	OnInstances func(ctx context.Context, instances []usher.GatewayInstance)
@@ -104,10 +93,6 @@
 	// registered.
 	endpointProofs proofGuard
 
-	// rosterConfirmed is the boottime.Time at which the store last confirmed the
-	// roster, or 0.
-	rosterConfirmed atomic.Int64
-
 	// endpointInquiry shares the lists of endpoints, of which listed is the newest, among
 	// the calls of HasNotRestarted.
 	endpointInquiry inquiry.Group
@@ -120,8 +105,10 @@
 	lastLive     []usher.GatewayInstance
 	instancesEra usher.StoreEra
 	restoredAt   time.Time
-	// instanceCount is the number of live instances, or 0 while it is unknown.
+	// instanceCount is the number of live instances, or 0 while it is unknown. position is
+	// that of this instance among them, by name.
 	instanceCount atomic.Int64
+	position      atomic.Int64
 }
 
 // scaled returns interval scaled up by the number of instances, at most maximum.
@@ -147,22 +134,13 @@
 	return w
 }
 
-// RosterAge returns how long ago the store last confirmed the roster, or a day if
-// it never did.
-func (w *Watcher) RosterAge() time.Duration {
-	at := w.rosterConfirmed.Load()
-	if at == 0 {
-		return 24 * time.Hour
-	}
-	return boottime.Since(boottime.Time(at))
-}
-
 // Run watches the directory until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { w.watchRoutes(ctx); return nil })
 	group.Go(func() error { w.renewProofs(ctx); return nil })
 	group.Go(func() error { w.watchEndpoints(ctx); return nil })
+	group.Go(func() error { w.renewRosterProofs(ctx); return nil })
 	group.Go(func() error { w.expireEndpoints(ctx); return nil })
 	group.Go(func() error { w.announceAndList(ctx); return nil })
 	return group.Wait()
@@ -277,83 +255,3 @@
 		pause.For(ctx, w.proofs.untilSettled(boottime.Now()))
 	}
 }
-
-func (w *Watcher) watchEndpoints(ctx context.Context) {
-	var since usher.Version
-	retry := backoff{}
-	for ctx.Err() == nil {
-		started := boottime.Now()
-		changes, next, err := w.fetchEndpoints(ctx, since)
-		if err != nil {
-			since = w.handleFailure(ctx, "endpoints", started, err, since, &retry)
-			continue
-		}
-		w.store.succeeded()
-		retry.reset()
-		update := w.options.Roster.Apply
-		if since == 0 {
-			update = w.options.Roster.Replace
-		}
-		if !update(changes, next) && len(changes) > 0 {
-			current := w.options.Roster.Snapshot().Revision
-			w.options.Log.Warn().Uint16("era", uint16(next.Era())).Uint64("revision", next.Revision()).
-				Uint16("currentEra", uint16(current.Era())).Uint64("current", current.Revision()).Int("changes", len(changes)).Msg("endpointsIgnored")
-		}
-		w.options.OnEndpointsChanged()
-		w.endpointProofs.isSettled(next.Era(), started)
-		w.rosterConfirmed.Store(int64(started))
-		since = next
-		pause.For(ctx, w.scaled(endpointsWatchInterval, maxEndpointsWatchInterval)-boottime.Since(started))
-	}
-}
-
-// ListEndpoints returns a list that the store makes after the call, unlike a watch, which may
-// report a change late. It returns an error unless the list has all endpoints that were
-// registered by then: the store may be unavailable, or have gone back to an earlier state. The
-// roster does not change, because it depends on the time and the outages between two lists what
-// an endpoint that is missing means.
-func (w *Watcher) ListEndpoints(ctx context.Context) ([]usher.EndpointChange, error) {
-	started := boottime.Now()
-	list, revision, err := w.options.Directory.Endpoints(ctx)
-	if err != nil {
-		return nil, err
-	}
-	if !w.endpointProofs.isSettled(revision.Era(), started) {
-		return nil, &UnsettledError{}
-	}
-	return list, nil
-}
-
-// UnsettledError is returned while the store may lack what was written to it, because it
-// has gone back to an earlier state.
-type UnsettledError struct{}
-
-// Error implements error.
-func (*UnsettledError) Error() string { return "the store has gone back to an earlier state" }
-
-// expireEndpoints drops the endpoints that did not register again after an outage
-// of the store. It does not rely on the watch, which may return nothing for a
-// while.
-func (w *Watcher) expireEndpoints(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause.For(ctx, expiryCheckInterval)
-		if w.RosterAge() < maxRosterAge && w.options.Roster.Expire() {
-			w.options.OnEndpointsChanged()
-		}
-	}
-}
-
-func (w *Watcher) fetchEndpoints(ctx context.Context, since usher.Version) (changes []usher.EndpointChange, next usher.Version, err error) {
-	if since == 0 {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		return w.options.Directory.Endpoints(callCtx)
-	}
-	callCtx, cancel := context.WithTimeout(ctx, endpointsWatchWait+callTimeout)
-	defer cancel()
-	err = erawatch.Do(callCtx, w.options.Directory, since, func(watchCtx context.Context) error {
-		changes, next, err = w.options.Directory.WatchEndpoints(watchCtx, since, endpointsWatchWait)
-		return err
-	})
-	return changes, next, err
-}
--- a/internal/peering/odd_entry_test.go
+++ b/internal/peering/odd_entry_test.go
@@ -49,7 +49,7 @@
 			known := roster.New(0, time.Now, func(usher.EndpointChange, string) {})
 			p := New(usher.GatewayInstance{Name: "self"}, nil, Dependencies{
 				Routes: routing.NewHolder(func(usher.Version, usher.Version, string) {}), Roster: known, Log: zerolog.Nop(),
-				RosterAge: func() time.Duration { return time.Hour }, OnEndpointsChanged: func() {},
+				OnEndpointsChanged: func() {},
 			})
 			p.fetchNewer(ctx, &peer{client: client}, &Report{RosterVersion: 5})
 			if diff := cmp.Diff(map[usher.EndpointName]usher.Registration{"e0": sound}, known.Snapshot().ByName); diff != "" {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -44,8 +44,7 @@
 	// silent, so that the requests that it reported are no longer counted. The quota
 	// has a timeout of its own.
 	peerSilentAfter = 1500 * time.Millisecond
-	// minRosterAge is the time since the store last confirmed this instance's
-	// endpoints after which it adopts those of a peer.
+	// minRosterAge is the age of this instance's roster after which it adopts that of a peer.
 	minRosterAge = 1200 * time.Millisecond
 	// crashTimeout bounds an exchange about crashes, for which a retry waits.
 	crashTimeout = 150 * time.Millisecond
@@ -68,8 +67,12 @@
 	// it was last known to be the newest one.
 	Version  usher.Version
 	ProofAge time.Duration
-	// RosterVersion is the store's version of the endpoints that it knows.
+	// RosterVersion is the store's version of the endpoints that it knows. RosterDigest is
+	// that of their registrations, and RosterAge the time since a list of the store last
+	// had all of them.
 	RosterVersion usher.Version
+	RosterDigest  uint64
+	RosterAge     time.Duration
 	// Members is how many instances it knows, including itself.
 	Members  int
 	Dispatch dispatch.Report
@@ -87,8 +90,6 @@
 	Blame     *blame.Table
 	Streams   *streamorigin.Table
 	Log       zerolog.Logger
-	// RosterAge returns the time since the store last confirmed the roster.
-	RosterAge func() time.Duration
 	// OnEndpointsChanged is called after the roster was replaced by a peer's.
 	OnEndpointsChanged func()
 }
@@ -222,9 +223,10 @@
 	}
 	remote.streams = streams
 	p.merge(&reply)
-	// ProofAge was measured after the request was sent, so subtracting it from
-	// the time of sending never overstates how recent the proof is.
+	// The ages were measured after the request was sent, so subtracting them from
+	// the time of sending never overstates how recent the proofs are.
 	p.deps.Routes.ConfirmNewest(reply.Version, sentAt.Add(-reply.ProofAge))
+	p.deps.Roster.Confirm(reply.RosterDigest, sentAt.Add(-reply.RosterAge))
 	p.fetchNewer(ctx, remote, &reply)
 }
 
@@ -234,12 +236,14 @@
 	p.mu.Lock()
 	members := len(p.peers) + 1
 	p.mu.Unlock()
+	// The age is read first: it is never that of a later roster than the digest's.
+	rosterAge, roster := p.deps.Roster.Age(), p.deps.Roster.Snapshot()
 	return &Report{
 		Members: members,
 		Name:    p.self.Name, Incarnation: p.self.Incarnation, Address: p.self.Address,
 		Version: p.deps.Routes.Version(), ProofAge: p.deps.Routes.Age(),
-		RosterVersion: p.deps.Roster.Snapshot().Revision,
-		Dispatch:      p.deps.Scheduler.Report(), Quota: p.deps.Quota.Report(peerLearning), Blame: p.deps.Blame.Report(),
+		RosterVersion: roster.Revision, RosterDigest: roster.Digest, RosterAge: rosterAge,
+		Dispatch: p.deps.Scheduler.Report(), Quota: p.deps.Quota.Report(peerLearning), Blame: p.deps.Blame.Report(),
 	}
 }
 
@@ -280,7 +284,7 @@
 // newer ones.
 func (p *Peering) fetchNewer(ctx context.Context, remote *peer, report *Report) {
 	newerRoutes := report.Version > p.deps.Routes.Version()
-	newerRoster := report.RosterVersion > p.deps.Roster.Snapshot().Revision && p.deps.RosterAge() > minRosterAge
+	newerRoster := report.RosterVersion > p.deps.Roster.Snapshot().Revision && p.deps.Roster.Age() > minRosterAge
 	if !newerRoutes && !newerRoster || !p.fetching.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -7,12 +7,16 @@
 package roster
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"filbertusher/internal/boottime"
 	"filbertusher/pkg/usher"
 )
 
@@ -24,6 +28,9 @@
 	ByService map[usher.ServiceName][]usher.Registration
 	// ByName holds all endpoints, including those that are leaving.
 	ByName map[usher.EndpointName]usher.Registration
+	// Digest is equal in snapshots of the same registrations, without those that may have
+	// lapsed, and whatever the revision. It is never 0.
+	Digest uint64
 }
 
 // Roster is the list of endpoints as one process knows it. Reading a snapshot takes
@@ -48,6 +55,9 @@
 	// registrations of departed ones that a restored store lists.
 	departed map[usher.EndpointName]departure
 	withheld map[usher.EndpointName]usher.EndpointChange
+	// confirmedAt is the latest boottime.Time at which the roster is known to have been
+	// complete, or 0.
+	confirmedAt atomic.Int64
 }
 
 // departure is the last registration of an endpoint and when it was removed.
@@ -79,13 +89,36 @@
 		departed:    make(map[usher.EndpointName]departure),
 		withheld:    make(map[usher.EndpointName]usher.EndpointChange),
 	}
-	r.current.Store(&Snapshot{ByService: map[usher.ServiceName][]usher.Registration{}, ByName: map[usher.EndpointName]usher.Registration{}})
+	r.publish()
 	return r
 }
 
 // Snapshot returns the current state of the endpoints.
 func (r *Roster) Snapshot() *Snapshot { return r.current.Load() }
 
+// Confirm records that at some time a list of all registrations had the digest. It has no
+// effect if the roster has another digest: it is behind then, or the list is.
+func (r *Roster) Confirm(digest uint64, at boottime.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if digest == r.Snapshot().Digest && int64(at) > r.confirmedAt.Load() {
+		r.confirmedAt.Store(int64(at))
+	}
+}
+
+// unconfirmedAge is the age of a roster that was never known to be complete.
+const unconfirmedAge = 24 * time.Hour
+
+// Age returns how long ago the roster is known to have had all registrations. It includes
+// time during which the machine was suspended.
+func (r *Roster) Age() time.Duration {
+	at := r.confirmedAt.Load()
+	if at == 0 {
+		return unconfirmedAge
+	}
+	return boottime.Since(boottime.Time(at))
+}
+
 // StoreRecovered records that the store answers again after an outage.
 // Registrations that vanished meanwhile may only have lapsed.
 func (r *Roster) StoreRecovered() {
@@ -269,9 +302,13 @@
 		Revision:  r.revision,
 		ByService: make(map[usher.ServiceName][]usher.Registration),
 		ByName:    make(map[usher.EndpointName]usher.Registration, len(r.endpoints)),
+		Digest:    emptyDigest,
 	}
 	for name, endpoint := range r.endpoints {
 		snapshot.ByName[name] = endpoint
+		if _, lapsed := r.lapsedSince[name]; !lapsed {
+			snapshot.Digest += digest(&endpoint)
+		}
 		if !endpoint.Leaving {
 			snapshot.ByService[endpoint.Service] = append(snapshot.ByService[endpoint.Service], endpoint)
 		}
@@ -279,6 +316,15 @@
 	r.current.Store(snapshot)
 }
 
+// emptyDigest is the digest of no registrations.
+const emptyDigest = 1
+
+// digest returns the part of Snapshot.Digest of one registration. It covers all but ColdFor,
+// which decreases by itself.
+func digest(e *usher.Registration) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%q %d %q %q %q %d %t %q", e.Name, e.Born, e.Service, e.Address, e.Zone, e.Slots, e.Leaving, e.Software))
+}
+
 // List returns the endpoints and the revision for a process that can't reach the
 // store, to be passed to its Replace. Endpoints that are retained only because they
 // may have lapsed are left out: the other process may know already that they are
@@ -314,5 +360,6 @@
 		Leaving   []usher.EndpointName `json:"leaving"`
 		Lapsed    int                  `json:"lapsed"`
 		Withheld  int                  `json:"withheld"`
-	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), leaving, len(r.lapsedSince), len(r.withheld)}
+		AgeMs     int64                `json:"ageMs"`
+	}{r.revision.Era(), r.revision.Revision(), len(r.endpoints), leaving, len(r.lapsedSince), len(r.withheld), r.Age().Milliseconds()}
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -269,3 +269,31 @@
 		t.Error(diff)
 	}
 }
+
+func TestDigestIsOfRegistrationsOnly(t *testing.T) {
+	c := &clock{time.Unix(1000, 0)}
+	digestAfter := func(change func(r *Roster)) uint64 {
+		r := New(time.Minute, c.now, nil)
+		r.Replace([]usher.EndpointChange{registered("a", false), registered("b", false)}, 5)
+		change(r)
+		return r.Snapshot().Digest
+	}
+	same := digestAfter(func(*Roster) {})
+	for name, test := range map[string]struct {
+		change func(r *Roster)
+		want   bool
+	}{
+		"other order": {func(r *Roster) {
+			r.Replace([]usher.EndpointChange{registered("b", false), registered("a", false)}, 6)
+		}, true},
+		"later revision": {func(r *Roster) { r.Apply(nil, 9) }, true},
+		"leaves":         {func(r *Roster) { r.Apply([]usher.EndpointChange{registered("a", true)}, 6) }, false},
+		"removed":        {func(r *Roster) { r.Apply([]usher.EndpointChange{deleted("a")}, 6) }, false},
+		"lapsed":         {func(r *Roster) { r.StoreRecovered(); r.Apply([]usher.EndpointChange{deleted("a")}, 6) }, false},
+		"added":          {func(r *Roster) { r.Apply([]usher.EndpointChange{registered("c", false)}, 6) }, false},
+	} {
+		if got := digestAfter(test.change) == same; got != test.want {
+			t.Errorf("%s: same digest %v, want %v", name, got, test.want)
+		}
+	}
+}
