Count no time without calls as an outage of the store

What callers saw: requests ran at an endpoint 2.4 s after its registration was removed.

Cause: an outage was measured from this process's last successful call to its next, once any call had failed. Instances share proofs, so one may make no call for 3 s; a watch that was lost long before fails meanwhile, and the next success ended an 'outage' of 3.4 s. An endpoint that was removed then counted as lapsed and was kept for 2 s.

Change: an outage is the time between two moments at which the store is known to have answered any instance, and only if a call has failed that was begun since the first. Proofs of peers tell such moments. A call that was begun before one that has succeeded is logged as callLost and no longer as dependencyLost.

TestIdleTimeIsNoOutage failed before, 2 of 2 times, and passes now, with the package's other tests under the race detector.

--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -204,7 +204,7 @@
 	})
 	p.peering = peering.New(self, s.SeedAddresses, peering.Dependencies{
 		Routes: p.routes, Roster: p.roster, Scheduler: p.scheduler, Quota: p.quota, Blame: p.blame, Streams: p.streams,
-		Log: p.log, OnEndpointsChanged: p.updateScheduler,
+		Log: p.log, OnStoreAnswered: p.watcher.StoreAnswered, OnEndpointsChanged: p.updateScheduler,
 	})
 	p.recorder = record.NewRecorder(record.RecorderOptions{
 		BatchInterval: recordBatchInterval, WritesPerSecond: s.StoreWritesPerSecond * recordWriteFraction, MaxBacklogBytes: s.MemoryLimitBytes / recordMemoryDivisor,
--- a/internal/discovery/dependency.go
+++ b/internal/discovery/dependency.go
@@ -13,17 +13,23 @@
 )
 
 // dependency tracks whether an external system that this process needs, such as the
-// store, is available, and logs when that changes.
+// store, is available, and logs when that changes for this process.
 type dependency struct {
 	name string
 	log  zerolog.Logger
-	// onRecovery is called at the first success after a failure, with the time
-	// since the last success before it.
+	// onRecovery is called when the system answers after an outage, with the time in which
+	// it is not known to have answered any process.
 	onRecovery func(outage time.Duration)
 
 	mu          sync.Mutex
 	unavailable bool
-	lastSuccess time.Time
+	// lastSuccess is when a call of this process last succeeded.
+	lastSuccess boottime.Time
+	// lastAnswer is when the system is last known to have answered this process or another
+	// one, or 0. hasFailed is set if a call has failed that was begun since: time without
+	// calls is no outage.
+	lastAnswer boottime.Time
+	hasFailed  bool
 }
 
 // failed records that a call failed that was begun at started.
@@ -33,28 +39,47 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.unavailable {
+	if started >= d.lastAnswer {
+		d.hasFailed = true
+	}
+	event, name := d.log.Warn(), "dependencyLost"
+	if started < d.lastSuccess {
+		// The system has answered a call since, so only this one is lost.
+		event, name = d.log.Info(), "callLost"
+	} else if d.unavailable {
 		return
+	} else {
+		d.unavailable = true
 	}
-	d.unavailable = true
-	d.log.Warn().Err(cause).Str("dependency", d.name).Str("call", call).Int64("tookMs", boottime.Since(started).Milliseconds()).Msg("dependencyLost")
+	event.Err(cause).Str("dependency", d.name).Str("call", call).Int64("tookMs", boottime.Since(started).Milliseconds()).Msg(name)
 }
 
 func (d *dependency) succeeded() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := time.Now()
-	outage := now.Sub(d.lastSuccess)
-	if d.lastSuccess.IsZero() {
-		outage = 0
+	now := boottime.Now()
+	if d.unavailable {
+		d.unavailable = false
+		d.log.Info().Str("dependency", d.name).Dur("after", now.Sub(d.lastSuccess)).Msg("dependencyRegained")
 	}
 	d.lastSuccess = now
-	if !d.unavailable {
+	d.recordAnswer(now)
+}
+
+// answered records that the system answered a process at a time.
+func (d *dependency) answered(at boottime.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordAnswer(at)
+}
+
+func (d *dependency) recordAnswer(at boottime.Time) {
+	if at <= d.lastAnswer {
 		return
 	}
-	d.unavailable = false
-	d.log.Info().Str("dependency", d.name).Dur("after", outage).Msg("dependencyRegained")
-	if d.onRecovery != nil {
+	outage, hadOutage := at.Sub(d.lastAnswer), d.hasFailed && d.lastAnswer > 0
+	d.lastAnswer, d.hasFailed = at, false
+	if hadOutage && d.onRecovery != nil {
 		d.onRecovery(outage)
 	}
 }
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -146,6 +146,9 @@
 	return group.Wait()
 }
 
+// StoreAnswered records that the store answered another instance at a time.
+func (w *Watcher) StoreAnswered(at boottime.Time) { w.store.answered(at) }
+
 // KnowsInstances reports whether the instances have been listed at least once.
 func (w *Watcher) KnowsInstances() bool { return w.instanceCount.Load() > 0 }
 
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"filbertusher/internal/boottime"
 	"filbertusher/internal/roster"
 	"filbertusher/internal/routing"
 	"filbertusher/internal/standin/store"
@@ -216,3 +217,20 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against retaining an endpoint that is gone because a process without calls missed nothing.
+func TestIdleTimeIsNoOutage(t *testing.T) {
+	registration := usher.Registration{Name: "e", Service: "s", Slots: 1}
+	fx := newFixture(t, usher.EndpointChange{Registration: registration, Usable: true})
+	waitUntil(t, "the endpoint is known", func() bool { return len(fx.roster.Snapshot().ByService["s"]) == 1 })
+	store := &dependency{name: "store", log: zerolog.Nop(), onRecovery: fx.watcher.store.onRecovery}
+	watchStarted := boottime.Now()
+	store.succeeded()
+	time.Sleep(minLapseOutage + 100*time.Millisecond)
+	store.failed(t.Context(), "endpoints", watchStarted, &usher.UnavailableError{Operation: "watch"})
+	store.succeeded()
+	fx.roster.Apply([]usher.EndpointChange{{Registration: usher.Registration{Name: "e"}}}, 100)
+	if len(fx.roster.Snapshot().ByService["s"]) != 0 {
+		t.Error("an endpoint that was removed counts as lapsed in an outage, though none of the calls begun since the last answer has failed")
+	}
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -90,6 +90,8 @@
 	Blame     *blame.Table
 	Streams   *streamorigin.Table
 	Log       zerolog.Logger
+	// OnStoreAnswered is called with a time at which the store answered a peer.
+	OnStoreAnswered func(at boottime.Time)
 	// OnEndpointsChanged is called after the roster was replaced by a peer's.
 	OnEndpointsChanged func()
 }
@@ -227,6 +229,7 @@
 	// the time of sending never overstates how recent the proofs are.
 	p.deps.Routes.ConfirmNewest(reply.Version, sentAt.Add(-reply.ProofAge))
 	p.deps.Roster.Confirm(reply.RosterDigest, sentAt.Add(-reply.RosterAge))
+	p.deps.OnStoreAnswered(sentAt.Add(-reply.ProofAge))
 	p.fetchNewer(ctx, remote, &reply)
 }
 
--- a/internal/peering/roster_age_test.go
+++ b/internal/peering/roster_age_test.go
@@ -62,7 +62,7 @@
 		p := New(usher.GatewayInstance{Name: "self"}, nil, Dependencies{
 			Routes: routing.NewHolder(nil), Roster: known, Scheduler: dispatch.New(dispatch.Options{Self: "self"}),
 			Quota: quota.New(quota.Tolerance{}, "i", false, time.Now), Blame: blame.New(time.Now, nil), Streams: streamorigin.New(time.Now),
-			Log: zerolog.Nop(), OnEndpointsChanged: func() {},
+			Log: zerolog.Nop(), OnStoreAnswered: func(boottime.Time) {}, OnEndpointsChanged: func() {},
 		})
 		before := boottime.Now()
 		p.exchange(t.Context(), &peer{client: client})
