--- a/internal/discovery/endpoints.go
+++ b/internal/discovery/endpoints.go
@@ -31,9 +31,6 @@
 	// rosterAgeFraction is the fraction of Options.DrainTime that the proof of the roster may
 	// be old. The rest is left for a list that is lost, and one more.
 	rosterAgeFraction = 0.5
-	// firstListTimeout bounds a list that renews the proof of the roster. It doubles with each
-	// failure, up to callTimeout, for a store that is slow.
-	firstListTimeout = 500 * time.Millisecond
 )
 
 // renewalFractions are the fractions of rosterAgeLimit at which the first and the second of the
@@ -110,7 +107,7 @@
 			continue
 		}
 		started := boottime.Now()
-		callCtx, cancel := context.WithTimeout(ctx, min(callTimeout, firstListTimeout<<min(retry.failures, 2)))
+		callCtx, cancel := context.WithTimeout(ctx, retry.proofTimeout())
 		list, revision, err := w.options.Directory.Endpoints(callCtx)
 		cancel()
 		if err != nil {
--- a/internal/discovery/proof.go
+++ b/internal/discovery/proof.go
@@ -8,6 +8,16 @@
 	"filbertusher/pkg/usher"
 )
 
+// firstProofTimeout bounds a read that renews a proof. The bound doubles with each failure, up to
+// callTimeout, for a store that is slow. A read that is lost must leave time for another one
+// before the proof is too old.
+const firstProofTimeout = 500 * time.Millisecond
+
+// proofTimeout returns how long the next read that renews a proof may take.
+func (b *backoff) proofTimeout() time.Duration {
+	return min(callTimeout, firstProofTimeout<<min(b.failures, 2))
+}
+
 // proofGuard decides which reads of the store prove that nothing newer was accepted, such
 // as another configuration. After the store went back to an earlier state, something newer
 // may have been accepted, lost and not written again yet.
--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -244,7 +244,7 @@
 		// The random age keeps instances that share a proof from reading all at once.
 		maxAge = maxProofAge/2 + time.Duration(rand.Int64N(int64(maxProofAge/2)))
 		started := boottime.Now()
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, retry.proofTimeout())
 		table, version, err := w.options.Directory.Routes(callCtx)
 		cancel()
 		if err != nil {
