Read the bodies of responses into memory that is used again

Cause: a gateway grew a body by copying it into a buffer of twice the size. All bodies together are bounded, but what was given up and not collected yet was not counted, and the reservation lasted as long as the request. A companion bounded each answer only, allocated a declared length at once, and accepted headers of 10 MB.

Change: intake.Responses reads into parts of 64 KB that are used again, for both.

--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -75,12 +75,23 @@
 	return command
 }
 
+const (
+	// maxEndpointHeaderBytes bounds the header of an endpoint's response.
+	maxEndpointHeaderBytes = 64 << 10
+	// companionResponseMemoryDivisor gives the part of --memory-limit that the bodies of the
+	// endpoint's responses may use while they are read.
+	companionResponseMemoryDivisor = 4
+)
+
 func (p *companionProcess) backend() usher.Backend {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: p.maxRunning, DisableCompression: true}}
+	client := &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: p.maxRunning, DisableCompression: true, MaxResponseHeaderBytes: maxEndpointHeaderBytes,
+	}}
+	responseMemory := int64(p.memoryLimit) * mebibyte / companionResponseMemoryDivisor
 	if p.protocol == string(usher.ServicePlain) {
-		return endpoint.NewPlainClient(p.endpointAddress, client)
+		return endpoint.NewPlainClient(p.endpointAddress, client, responseMemory)
 	}
-	return endpoint.NewModelClient(p.endpointAddress, client)
+	return endpoint.NewModelClient(p.endpointAddress, client, responseMemory)
 }
 
 // outcomeBatchDelay is how long the journal holds back an outcome so that it can be
--- a/internal/endpoint/cut_test.go
+++ b/internal/endpoint/cut_test.go
@@ -47,10 +47,10 @@
 			transport := &http.Transport{}
 			address, httpClient := listener.Addr().String(), &http.Client{Transport: transport}
 			call := &usher.Call{Method: http.MethodPost, Path: "/v1/chat/completions", ContentType: "application/json", Body: []byte("{}")}
-			if answer, err := NewPlainClient(address, httpClient).Call(ctx, "r1", 1, call); err == nil {
+			if answer, err := NewPlainClient(address, httpClient, 64<<20).Call(ctx, "r1", 1, call); err == nil {
 				t.Errorf("cut after %q: the plain service answered %+v", head[:cut], answer)
 			}
-			if stream, answer, err := NewModelClient(address, httpClient).Stream(ctx, "r2", 1, call); err == nil {
+			if stream, answer, err := NewModelClient(address, httpClient, 64<<20).Stream(ctx, "r2", 1, call); err == nil {
 				t.Errorf("cut after %q: the engine answered %+v, stream %v", head[:cut], answer, stream != nil)
 			}
 			cancel()
--- a/internal/endpoint/fence_test.go
+++ b/internal/endpoint/fence_test.go
@@ -23,7 +23,7 @@
 	go simulated.Run(t.Context().Done())
 	server := httptest.NewServer(simulated.Handler())
 	defer server.Close()
-	model := endpoint.NewModelClient(strings.TrimPrefix(server.URL, "http://"), server.Client())
+	model := endpoint.NewModelClient(strings.TrimPrefix(server.URL, "http://"), server.Client(), 64<<20)
 	call := func(stream string) *usher.Call {
 		body := `{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"x"}]` + stream + `}`
 		return &usher.Call{Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte(body)}
--- a/internal/endpoint/foreign_test.go
+++ b/internal/endpoint/foreign_test.go
@@ -35,7 +35,7 @@
 		}()
 		transport := &http.Transport{}
 		defer transport.CloseIdleConnections()
-		client := NewPlainClient(listener.Addr().String(), &http.Client{Transport: transport})
+		client := NewPlainClient(listener.Addr().String(), &http.Client{Transport: transport}, 64<<20)
 		answered := 0
 		for i := range 20 {
 			id := usher.RequestID(fmt.Sprint("r", i))
--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"sync/atomic"
 
+	"filbertusher/internal/intake"
 	"filbertusher/pkg/usher"
 )
 
@@ -33,14 +34,6 @@
 // Error implements error.
 func (e *StatusError) Error() string { return "status " + strconv.Itoa(e.Status) }
 
-// TooLargeError is the cause if a response body exceeds the limit.
-type TooLargeError struct{ Limit int }
-
-// Error implements error.
-func (e *TooLargeError) Error() string {
-	return "answer is larger than " + strconv.Itoa(e.Limit) + " bytes"
-}
-
 // UnknownLengthError is the cause if a complete response can't be distinguished from
 // a truncated one: it has no length and is not chunked.
 type UnknownLengthError struct{}
@@ -69,9 +62,11 @@
 // Until then every request has a connection of its own: nothing else would tell a late
 // copy of one response from the response to the next request on a connection.
 type client struct {
-	base   string
-	http   *http.Client
-	echoes atomic.Bool
+	base string
+	http *http.Client
+	// responses buffers the bodies of responses that are not streamed.
+	responses *intake.Responses
+	echoes    atomic.Bool
 }
 
 // do sends a request with its ID and checks that the response belongs to it.
@@ -133,28 +128,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return readResponse(response)
+	return c.readResponse(response)
 }
 
 // readResponse reads a complete response. net/http returns an error for a body
 // that is shorter than its announced length, so a truncated response is never
 // taken for a complete one.
-func readResponse(response *http.Response) (*usher.Response, error) {
+func (c *client) readResponse(response *http.Response) (*usher.Response, error) {
 	defer response.Body.Close()
 	if !isDelimited(response) {
 		return nil, &usher.BackendError{Operation: "read answer", Reached: true, Cause: &UnknownLengthError{}}
 	}
-	body, err := readBody(response)
-	if err == nil && len(body) > maxResponseBytes {
-		err = &TooLargeError{Limit: maxResponseBytes}
-	}
+	body, err := c.responses.Read(response.Body)
 	if err != nil {
 		return nil, &usher.BackendError{Operation: "read answer", Reached: true, Cause: err}
 	}
+	defer body.Release()
 	return &usher.Response{
 		Status:      response.StatusCode,
 		ContentType: response.Header.Get("Content-Type"),
-		Body:        body,
+		Body:        body.Copy(),
 	}, nil
 }
 
@@ -162,16 +155,6 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead
 }
 
-// readBody reads at most one byte more than maxResponseBytes.
-func readBody(response *http.Response) ([]byte, error) {
-	if length := response.ContentLength; length >= 0 && length <= maxResponseBytes && response.Request.Method != http.MethodHead {
-		body := make([]byte, length)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	return io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
-}
-
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/internal/endpoint/model.go
+++ b/internal/endpoint/model.go
@@ -13,6 +13,7 @@
 
 	"github.com/tmaxmax/go-sse"
 
+	"filbertusher/internal/intake"
 	"filbertusher/pkg/usher"
 )
 
@@ -28,8 +29,9 @@
 var _ usher.Backend = (*ModelClient)(nil)
 
 // NewModelClient returns a client of the engine at address, an IP address and port.
-func NewModelClient(address string, httpClient *http.Client) *ModelClient {
-	return &ModelClient{client{base: "http://" + address, http: httpClient}}
+// All bodies of responses together may use responseMemory bytes.
+func NewModelClient(address string, httpClient *http.Client, responseMemory int64) *ModelClient {
+	return &ModelClient{client{base: "http://" + address, http: httpClient, responses: intake.NewResponses(responseMemory, maxResponseBytes)}}
 }
 
 // Call implements usher.Backend. It also reads the usage from the response. If the
@@ -76,7 +78,7 @@
 		return nil, nil, err
 	}
 	if !isEventStream(response) {
-		answer, err := rejectFenced(readResponse(response))
+		answer, err := rejectFenced(m.readResponse(response))
 		return nil, answer, err
 	}
 	return newEventStream(response.Body), nil, nil
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 
+	"filbertusher/internal/intake"
 	"filbertusher/pkg/usher"
 )
 
@@ -15,8 +16,9 @@
 var _ usher.Backend = (*PlainClient)(nil)
 
 // NewPlainClient returns a client of the service at address, an IP address and port.
-func NewPlainClient(address string, httpClient *http.Client) *PlainClient {
-	return &PlainClient{client{base: "http://" + address, http: httpClient}}
+// All bodies of responses together may use responseMemory bytes.
+func NewPlainClient(address string, httpClient *http.Client, responseMemory int64) *PlainClient {
+	return &PlainClient{client{base: "http://" + address, http: httpClient, responses: intake.NewResponses(responseMemory, maxResponseBytes)}}
 }
 
 // Listens returns whether the service accepts connections.
--- a/internal/endpoint/recover_test.go
+++ b/internal/endpoint/recover_test.go
@@ -38,7 +38,7 @@
 				_, _ = w.Write([]byte(fetched))
 			}))
 			defer server.Close()
-			model := endpoint.NewModelClient(strings.TrimPrefix(server.URL, "http://"), server.Client())
+			model := endpoint.NewModelClient(strings.TrimPrefix(server.URL, "http://"), server.Client(), 64<<20)
 			response, err := model.Call(t.Context(), "r", 1, &usher.Call{Method: http.MethodPost, Path: "/v1/chat/completions", Body: []byte("{}")})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -56,9 +56,9 @@
 	// record.
 	responseHash  hash.Hash
 	responseBytes int64
-	// reservedBytes is the part of Gateway.responseMemory that is reserved for this request.
-	reservedBytes int64
-	refusalKind   usher.RefusalKind
+	// buffered are the bodies of responses that are held for this request.
+	buffered    []*intake.ResponseBody
+	refusalKind usher.RefusalKind
 
 	// The remaining fields are logged when the request ends. attemptSent is when the
 	// current attempt was sent. endpointRunning is the number of requests known to be
@@ -85,7 +85,9 @@
 	// http.ErrAbortHandler.
 	defer h.finish()
 	defer func() {
-		g.responseMemory.Release(h.reservedBytes)
+		for _, body := range h.buffered {
+			body.Release()
+		}
 		h.received.Release()
 	}()
 	if refusal := h.accept(); refusal != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"filbertusher/internal/blame"
 	"filbertusher/internal/dispatch"
@@ -88,6 +87,8 @@
 	// defaultMaxBodyBytes bounds request bodies where the configuration sets no
 	// limit.
 	defaultMaxBodyBytes = 8 << 20
+	// maxResponseBytes bounds the body of a response that is not streamed.
+	maxResponseBytes = 32 << 20
 	// defaultBodyMemory bounds the buffered bodies where no limit is given.
 	defaultBodyMemory = 64 << 20
 	// idleSweepInterval is the interval between scans for idle connections.
@@ -102,11 +103,11 @@
 // Gateway is the HTTP server for callers in one process.
 type Gateway struct {
 	Dependencies
-	options        atomic.Pointer[Options]
-	http           *http.Server
-	server         *drain.Server
-	intake         *intake.Intake
-	responseMemory *semaphore.Weighted
+	options   atomic.Pointer[Options]
+	http      *http.Server
+	server    *drain.Server
+	intake    *intake.Intake
+	responses *intake.Responses
 	// crashInquiry shares the exchanges about crashes among the requests that wait for one.
 	crashInquiry inquiry.Group
 	metrics      *metrics
@@ -118,7 +119,7 @@
 	g := &Gateway{Dependencies: dependencies, metrics: newMetrics(), logLimiter: newLogLimiter()}
 	g.options.Store(&options)
 	g.intake = intake.New(cmp.Or(options.RequestMemory, defaultBodyMemory))
-	g.responseMemory = semaphore.NewWeighted(cmp.Or(options.ResponseMemory, defaultBodyMemory))
+	g.responses = intake.NewResponses(cmp.Or(options.ResponseMemory, defaultBodyMemory), maxResponseBytes)
 	g.http = &http.Server{Handler: g, MaxHeaderBytes: maxHeaderBytes, ConnState: trackCallerConn}
 	g.server = drain.New(g.http, g.newCallerConn, options.Connections)
 	g.server.SetIdleTime(maxToldIdleTime)
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -19,6 +19,15 @@
 	h.responseBytes += int64(len(chunk))
 }
 
+// responseHasher writes to the digest of the response body.
+type responseHasher struct{ *requestHandler }
+
+// Write implements io.Writer.
+func (h responseHasher) Write(chunk []byte) (int, error) {
+	h.hashResponse(chunk)
+	return len(chunk), nil
+}
+
 // record writes the decision on the request to the decision record. Refusals of
 // unidentified callers are only counted, because anybody can cause them. The key is
 // the ID that the caller chose. The record's own IDs are consecutive, so that a
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -11,18 +11,12 @@
 	"time"
 
 	"filbertusher/internal/dispatch"
+	"filbertusher/internal/intake"
 	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
 )
 
 const (
-	// maxBufferedBytes bounds the body of a response that is not streamed.
-	maxBufferedBytes = 32 << 20
-	// unreservedBytes is the part of each body that is buffered without a reservation
-	// of memory. It is more than most responses need.
-	unreservedBytes = 64 << 10
-	// firstReadBytes is the size of the first buffer for a body.
-	firstReadBytes = 4 << 10
 	// minReadTime is how long a caller may at least take to read a whole response. It is
 	// written late where this process was short of processor time.
 	minReadTime = 5 * time.Second
@@ -32,15 +26,17 @@
 type bufferedResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *intake.ResponseBody
 }
 
 // bufferResponse reads a response completely and delivers it. A retryable failure
 // is returned instead, because another endpoint may succeed.
 func (h *requestHandler) bufferResponse(ctx context.Context, grant *dispatch.Grant, response *upstream.Response, monitor *attemptMonitor) attemptResult {
 	grant.FirstEvent()
-	body, reserved, err := h.gateway.readBody(response.Body)
-	h.reservedBytes += reserved
+	body, err := h.gateway.responses.Read(response.Body)
+	if body != nil {
+		h.buffered = append(h.buffered, body)
+	}
 	response.Close(err == nil)
 	if err == nil && h.endedByCrash(ctx, grant, response, monitor) {
 		err = io.ErrUnexpectedEOF
@@ -67,37 +63,6 @@
 	return attemptResult{outcome: delivered}
 }
 
-// readBody reads a body to its end. What exceeds unreservedBytes is reserved, in
-// doubling steps, from the memory that all bodies share, so that endpoints which send
-// without end can't use up the memory of the process. The caller must release reserved
-// bytes, also after an error.
-func (g *Gateway) readBody(body io.Reader) (read []byte, reserved int64, err error) {
-	read = make([]byte, 0, firstReadBytes)
-	for {
-		if len(read) == cap(read) {
-			grown := 2 * cap(read)
-			if grown > maxBufferedBytes {
-				return nil, reserved, &upstream.InvalidResponseError{Reason: "an answer that is too long"}
-			}
-			if grown > unreservedBytes {
-				if !g.responseMemory.TryAcquire(int64(grown) - reserved) {
-					return nil, reserved, &upstream.InvalidResponseError{Reason: "an answer that is longer than the memory left"}
-				}
-				reserved = int64(grown)
-			}
-			read = append(make([]byte, 0, grown), read...)
-		}
-		n, err := body.Read(read[len(read):cap(read)])
-		read = read[:len(read)+n]
-		if errors.Is(err, io.EOF) {
-			return read, reserved, nil
-		}
-		if err != nil {
-			return nil, reserved, err
-		}
-	}
-}
-
 // cancelledOr returns dispatch.Cancelled if ctx ended, so that the endpoint is not
 // blamed, and end otherwise. An attempt that was moved because its endpoint was
 // silent is not a cancellation.
@@ -156,12 +121,13 @@
 		header[name] = values
 	}
 	if response.status != http.StatusNoContent && response.status != http.StatusNotModified {
-		header.Set("Content-Length", strconv.Itoa(len(response.body)))
+		header.Set("Content-Length", strconv.Itoa(response.body.Len()))
 	}
 	h.writer.WriteHeader(response.status)
 	if h.request.Method == http.MethodHead {
 		return
 	}
-	h.hashResponse(response.body)
-	_, _ = h.writer.Write(response.body)
+	// The record has all of the body, however much of it the caller reads.
+	_, _ = response.body.WriteTo(responseHasher{h})
+	_, _ = response.body.WriteTo(h.writer)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,5 +1,5 @@
-// Package intake reads the bodies of callers' requests within a bound on the memory that
-// all of them use together.
+// Package intake reads the bodies of callers' requests, and those of endpoints' responses,
+// within bounds on the memory that all of them use together.
 package intake
 
 import (
--- a/internal/standin/fleet/build.go
+++ b/internal/standin/fleet/build.go
@@ -21,28 +21,37 @@
 // Unwrap returns the cause.
 func (e *BuildError) Unwrap() error { return e.Cause }
 
-var buildOnce = sync.OnceValues(build)
+var (
+	buildOnce      = sync.OnceValues(func() (string, error) { return build("-race") })
+	buildPlainOnce = sync.OnceValues(func() (string, error) { return build() })
+)
 
 // Build builds the programs with the race detector and returns their paths and
 // the directory that holds them. It builds them once in each test process, so that
 // tests never run programs that are older than the source code. The caller has to
 // remove the directory after its tests.
-func Build() (Binaries, string, error) {
-	directory, err := buildOnce()
+func Build() (Binaries, string, error) { return binariesOf(buildOnce()) }
+
+// BuildPlain is Build without the race detector, for tests of how much memory a program
+// uses.
+func BuildPlain() (Binaries, string, error) { return binariesOf(buildPlainOnce()) }
+
+func binariesOf(directory string, err error) (Binaries, string, error) {
 	return Binaries{
 		Scheduler: filepath.Join(directory, "filbertusher"),
 		Standin:   filepath.Join(directory, "standin"),
 	}, directory, err
 }
 
-func build() (string, error) {
+func build(flags ...string) (string, error) {
 	directory, err := os.MkdirTemp("", "filbertusher-test-")
 	if err != nil {
 		return "", err
 	}
 	_, file, _, _ := runtime.Caller(0)
 	root := filepath.Join(filepath.Dir(file), "..", "..", "..")
-	command := exec.Command("go", "build", "-race", "-o", directory+string(filepath.Separator), "./cmd/...")
+	arguments := append([]string{"build", "-o", directory + string(filepath.Separator)}, flags...)
+	command := exec.Command("go", append(arguments, "./cmd/...")...)
 	command.Dir = root
 	if output, err := command.CombinedOutput(); err != nil {
 		return directory, &BuildError{Output: string(output), Cause: err}
--- a/test/gateway/cluster_test.go
+++ b/test/gateway/cluster_test.go
@@ -52,6 +52,10 @@
 	busyQuota float64
 	// storeAddress is the address that gateways use for the store, if not its own.
 	storeAddress string
+	// program is the path of the gateway's program, if not that of binaries.
+	program string
+	// memoryMB is the setting limits.memory_mb, if it is not 0.
+	memoryMB int
 	// maxFDs is the setting limits.max_fds, if it is not 0.
 	maxFDs int
 	// maxConnections is what each replica accepts from all gateways together, if it is not 0.
@@ -218,7 +222,7 @@
 readiness = %q
 control_plane = %q
 [limits]
-memory_mb = 200
+memory_mb = %d
 max_fds = %d
 [bounds]
 grace_s = 6
@@ -234,7 +238,7 @@
 address = %q
 form = "objects"
 writes_per_s = 400
-`, name, c.ip, seeds, addresses[0], addresses[1], addresses[2], cmp.Or(c.maxFDs, 4000), c.revokeMS, cmp.Or(c.storeAddress, c.store.Listener.Addr().String()))
+`, name, c.ip, seeds, addresses[0], addresses[1], addresses[2], cmp.Or(c.memoryMB, 200), cmp.Or(c.maxFDs, 4000), c.revokeMS, cmp.Or(c.storeAddress, c.store.Listener.Addr().String()))
 }
 
 func (c *cluster) startGateway(name string) *gateway {
@@ -273,7 +277,7 @@
 	if err != nil {
 		return err
 	}
-	g.Process, err = fleet.Start("gateway", binaries.Scheduler, "gateway", "--config", g.settingsPath, "--metrics-port", port)
+	g.Process, err = fleet.Start("gateway", cmp.Or(c.program, binaries.Scheduler), "gateway", "--config", g.settingsPath, "--metrics-port", port)
 	if err != nil {
 		return err
 	}
