--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -42,7 +42,9 @@
 					go func() {
 						defer conn.Close()
 						_, _ = http.ReadRequest(bufio.NewReader(conn))
-						for _, err := conn.Write([]byte(head)); err == nil; _, err = conn.Write(chunk) {
+						_, err := conn.Write([]byte(head))
+						for err == nil {
+							_, err = conn.Write(chunk)
 						}
 					}()
 				}
