--- a/test/gateway/soak_faults_test.go
+++ b/test/gateway/soak_faults_test.go
@@ -44,6 +44,12 @@
 	if s.set >= faultsOfLeavingReplicas {
 		faults = append(faults, s.leavingFaults()...)
 	}
+	if s.set >= faultsOfSilentStore {
+		faults = append(faults,
+			chaos.Fault{Name: "store is silent", Target: "store", Weight: 2, Inject: s.unplanned(s.silenceStore)},
+			chaos.Fault{Name: "watches of the store are lost", Target: "store", Weight: 2, Inject: s.loseWatches},
+		)
+	}
 	return faults
 }
 
@@ -221,6 +227,15 @@
 	s.injectStoreFaults(ctx, store.Faults{Down: true}, chaos.RandomDuration(random, 100*time.Millisecond, 3*time.Second))
 }
 
+func (s *soak) silenceStore(ctx context.Context, random *rand.Rand, _ int) {
+	s.injectStoreFaults(ctx, store.Faults{Silent: true}, chaos.RandomDuration(random, 100*time.Millisecond, 3*time.Second))
+}
+
+// loseWatches makes watches hang while all other calls are answered. No caller may notice.
+func (s *soak) loseWatches(ctx context.Context, random *rand.Rand, _ int) {
+	s.injectStoreFaults(ctx, store.Faults{SilentWatches: true}, chaos.RandomDuration(random, 500*time.Millisecond, 3*time.Second))
+}
+
 func (s *soak) slowStore(ctx context.Context, random *rand.Rand, _ int) {
 	delay := usher.Duration(chaos.RandomDuration(random, 20*time.Millisecond, 400*time.Millisecond))
 	s.injectStoreFaults(ctx, store.Faults{Delay: delay}, chaos.RandomDuration(random, 100*time.Millisecond, 3*time.Second))
--- a/test/gateway/soak_test.go
+++ b/test/gateway/soak_test.go
@@ -78,7 +78,8 @@
 	firstFaults faultSet = iota
 	faultsOfLeavingReplicas
 	faultsWithKeptCallers
-	newestFaults = faultsWithKeptCallers
+	faultsOfSilentStore
+	newestFaults = faultsOfSilentStore
 )
 
 // soakSeed is a seed and what it is played with.
