Keep the latest time at which something held in one type

The roster and the holder of the configuration each kept when they were last known to be complete or newest, with the same rules for an age. boottime.Latest has them once.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -239,7 +239,8 @@
 	p.mu.Lock()
 	members := len(p.peers) + 1
 	p.mu.Unlock()
-	// The age is read first: it is never that of a later roster than the digest's.
+	// A proof that comes between the two reads may be one of another digest, so the age is read
+	// before it.
 	rosterAge, roster := p.deps.Roster.Age(), p.deps.Roster.Snapshot()
 	return &Report{
 		Members: members,
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,7 +29,7 @@
 	// ByName holds all endpoints, including those that are leaving.
 	ByName map[usher.EndpointName]usher.Registration
 	// Digest is equal in snapshots of the same registrations, without those that may have
-	// lapsed, and whatever the revision. It is never 0.
+	// lapsed, and whatever the revision. 0 stands for no digest.
 	Digest uint64
 }
 
@@ -55,9 +55,8 @@
 	// registrations of departed ones that a restored store lists.
 	departed map[usher.EndpointName]departure
 	withheld map[usher.EndpointName]usher.EndpointChange
-	// confirmedAt is the latest boottime.Time at which the roster is known to have been
-	// complete, or 0.
-	confirmedAt atomic.Int64
+	// confirmedAt is when the roster was last known to be complete.
+	confirmedAt boottime.Latest
 }
 
 // departure is the last registration of an endpoint and when it was removed.
@@ -101,23 +100,14 @@
 func (r *Roster) Confirm(digest uint64, at boottime.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if digest == r.Snapshot().Digest && int64(at) > r.confirmedAt.Load() {
-		r.confirmedAt.Store(int64(at))
+	if digest == r.Snapshot().Digest {
+		r.confirmedAt.Record(at)
 	}
 }
 
-// unconfirmedAge is the age of a roster that was never known to be complete.
-const unconfirmedAge = 24 * time.Hour
-
 // Age returns how long ago the roster is known to have had all registrations. It includes
 // time during which the machine was suspended.
-func (r *Roster) Age() time.Duration {
-	at := r.confirmedAt.Load()
-	if at == 0 {
-		return unconfirmedAge
-	}
-	return boottime.Since(boottime.Time(at))
-}
+func (r *Roster) Age() time.Duration { return r.confirmedAt.Age() }
 
 // StoreRecovered records that the store answers again after an outage.
 // Registrations that vanished meanwhile may only have lapsed.
--- a/internal/routing/holder.go
+++ b/internal/routing/holder.go
@@ -10,11 +10,11 @@
 )
 
 // Holder holds the configuration that is in force in this process. The version
-// in force never decreases, whatever the store or the peers deliver. newestAt is the
-// boottime.Time at which the version in force was last known to be the newest, or 0.
+// in force never decreases, whatever the store or the peers deliver. newestAt is when the
+// version in force was last known to be the newest.
 type Holder struct {
 	index    atomic.Pointer[Index]
-	newestAt atomic.Int64
+	newestAt boottime.Latest
 
 	mu       sync.Mutex
 	onChange func(from, to usher.Version, source string)
@@ -63,22 +63,11 @@
 func (h *Holder) ConfirmNewest(version usher.Version, at boottime.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.index.Load() == nil || version != h.Version() || int64(at) <= h.newestAt.Load() {
-		return
+	if h.index.Load() != nil && version == h.Version() {
+		h.newestAt.Record(at)
 	}
-	h.newestAt.Store(int64(at))
 }
 
 // Age returns the time since the version in force was last known to be the
 // newest, which other packages and the log call the age of the proof. It includes time during which the machine was suspended.
-func (h *Holder) Age() time.Duration {
-	at := h.newestAt.Load()
-	if at == 0 {
-		return unconfirmedAge
-	}
-	return boottime.Since(boottime.Time(at))
-}
-
-// unconfirmedAge is the age of a configuration that was never known to be the
-// newest.
-const unconfirmedAge = 24 * time.Hour
+func (h *Holder) Age() time.Duration { return h.newestAt.Age() }
