--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -8,9 +8,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -173,6 +175,18 @@
 // PID returns the process ID.
 func (p *Process) PID() int { return p.command.Process.Pid }
 
+// PeakResidentBytes returns the most memory that the process has used.
+func (p *Process) PeakResidentBytes() (int64, error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(status), "VmHWM:")
+	number, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	kilobytes, err := strconv.ParseInt(number, 10, 64)
+	return kilobytes << 10, err
+}
+
 // freezeTimeout bounds the time until a signalled process is suspended.
 const freezeTimeout = 10 * time.Second
 
--- a/test/gateway/endless_test.go
+++ b/test/gateway/endless_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -102,16 +101,11 @@
 // peakResidentBytes returns the most memory that the process has used.
 func (g *gateway) peakResidentBytes(t *testing.T) int {
 	t.Helper()
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", g.PID()))
+	peak, err := g.PeakResidentBytes()
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, rest, _ := strings.Cut(string(status), "VmHWM:")
-	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
-	if err != nil {
-		t.Fatal(err)
-	}
-	return kilobytes << 10
+	return int(peak)
 }
 
 // A replica sends bytes without end, where a header, a body or an event is due. Many
--- a/test/gateway/soak_stops_test.go
+++ b/test/gateway/soak_stops_test.go
@@ -128,8 +128,9 @@
 	}
 	waited := waitedForProcessor(g)
 	err := g.Err()
-	if took := time.Since(signalled); took > soakGrace+raceExitDelay+<-waited {
-		s.t.Errorf("a graceful stop took %v since %s:\n%s", took, signalled.UTC().Format("05.000"), stopLog(g))
+	took, exit := time.Since(signalled), <-waited
+	if took > soakGrace+raceExitDelay+exit.processorWait {
+		s.t.Errorf("a graceful stop took %v since %s, %+v:\n%s", took, signalled.UTC().Format("05.000"), exit, stopLog(g))
 	}
 	// Before the program's own code runs, a signal ends the process.
 	if err != nil && (started || !endedBySignal(err)) {
@@ -139,33 +140,56 @@
 	s.restartGateway(target)
 }
 
-// waitedForProcessor returns a channel that receives, once a process has exited, how long its
-// threads have waited for a processor since the call, in total: a stop may last longer than its
-// grace period by so much.
-func waitedForProcessor(g *gateway) <-chan time.Duration {
-	result := make(chan time.Duration, 1)
+// exitWait is what a process has waited for until it exited. processorWait is how long its
+// threads have waited for a processor, in total: a stop may last longer than its grace period by
+// so much. For traces, longestGap is the longest time between two samples of the process, which
+// shows how long this process did not get to run, and states are those of its main thread.
+type exitWait struct {
+	processorWait, longestGap time.Duration
+	states                    string
+}
+
+// waitedForProcessor returns a channel that receives, once a process has exited, what it has
+// waited for since the call.
+func waitedForProcessor(g *gateway) <-chan exitWait {
+	result := make(chan exitWait, 1)
 	first := runQueueDelays(g.PID())
 	go func() {
+		var wait exitWait
+		sampled := time.Now()
 		last := maps.Clone(first)
 		for exited := false; !exited; {
 			for thread, delay := range runQueueDelays(g.PID()) {
 				last[thread] = delay
 			}
+			wait.longestGap, sampled = max(wait.longestGap, time.Since(sampled)), time.Now()
+			wait.states += mainThreadState(g.PID())
 			select {
 			case <-g.Exited():
 				exited = true
 			case <-time.After(100 * time.Millisecond):
 			}
 		}
-		total := time.Duration(0)
 		for thread, delay := range last {
-			total += delay - first[thread]
+			wait.processorWait += delay - first[thread]
 		}
-		result <- total
+		result <- wait
 	}()
 	return result
 }
 
+// mainThreadState returns the letter that stands for the state of a process's main thread in
+// proc(5), or "" if there is no such process.
+func mainThreadState(pid int) string {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return ""
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	state, _, _ := strings.Cut(rest, " ")
+	return state
+}
+
 // runQueueDelays returns how long each thread of a process has waited for a processor.
 func runQueueDelays(pid int) map[string]time.Duration {
 	delays := make(map[string]time.Duration)
