--- a/internal/intake/response.go
+++ b/internal/intake/response.go
@@ -33,8 +33,9 @@
 }
 
 // Responses buffers the bodies of responses within a bound on the memory that all of them
-// use together. The first parts of each, which suffice for most, are not counted. Parts are reused, because what was given up and is not collected yet would
-// be beyond the bound. It is safe for concurrent use.
+// use together. The first parts of each, which suffice for most, are not counted. Parts are
+// reused: what was given up and is not collected yet would be memory beyond the bound. It is
+// safe for concurrent use.
 type Responses struct {
 	memory   *semaphore.Weighted
 	maxBytes int64
--- a/internal/standin/fleet/build.go
+++ b/internal/standin/fleet/build.go
@@ -21,10 +21,7 @@
 // Unwrap returns the cause.
 func (e *BuildError) Unwrap() error { return e.Cause }
 
-var (
-	buildOnce      = sync.OnceValues(func() (string, error) { return build("-race") })
-	buildPlainOnce = sync.OnceValues(func() (string, error) { return build() })
-)
+var buildOnce = sync.OnceValues(func() (string, error) { return build("-race") })
 
 // Build builds the programs with the race detector and returns their paths and
 // the directory that holds them. It builds them once in each test process, so that
@@ -33,8 +30,8 @@
 func Build() (Binaries, string, error) { return binariesOf(buildOnce()) }
 
 // BuildPlain is Build without the race detector, for tests of how much memory a program
-// uses.
-func BuildPlain() (Binaries, string, error) { return binariesOf(buildPlainOnce()) }
+// uses. It builds the programs each time.
+func BuildPlain() (Binaries, string, error) { return binariesOf(build()) }
 
 func binariesOf(directory string, err error) (Binaries, string, error) {
 	return Binaries{
