State no age of a store that has never answered, and name what the soak samples

dependencyRegained said 'after' the start of the machine when the first call of a process had failed. The fields of a lost call are decided in one switch.

--- a/internal/discovery/dependency.go
+++ b/internal/discovery/dependency.go
@@ -43,12 +43,13 @@
 		d.hasFailed = true
 	}
 	event, name := d.log.Warn(), "dependencyLost"
-	if started < d.lastSuccess {
+	switch {
+	case started < d.lastSuccess:
 		// The system has answered a call since, so only this one is lost.
 		event, name = d.log.Info(), "callLost"
-	} else if d.unavailable {
+	case d.unavailable:
 		return
-	} else {
+	default:
 		d.unavailable = true
 	}
 	event.Err(cause).Str("dependency", d.name).Str("call", call).Int64("tookMs", boottime.Since(started).Milliseconds()).Msg(name)
@@ -58,6 +59,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := boottime.Now()
+	if d.lastSuccess == 0 {
+		d.lastSuccess = now
+	}
 	if d.unavailable {
 		d.unavailable = false
 		d.log.Info().Str("dependency", d.name).Dur("after", now.Sub(d.lastSuccess)).Msg("dependencyRegained")
--- a/test/gateway/soak_stops_test.go
+++ b/test/gateway/soak_stops_test.go
@@ -126,9 +126,9 @@
 		timer := time.AfterFunc(time.Duration(random.Int64N(int64(soakGrace))), func() { g.Signal(next) })
 		defer timer.Stop()
 	}
-	waited := waitedForProcessor(g)
+	sampled := sampleUntilExit(g)
 	err := g.Err()
-	took, exit := time.Since(signalled), <-waited
+	took, exit := time.Since(signalled), <-sampled
 	if took > soakGrace+raceExitDelay+exit.processorWait {
 		s.t.Errorf("a graceful stop took %v since %s, %+v:\n%s", took, signalled.UTC().Format("05.000"), exit, stopLog(g))
 	}
@@ -149,9 +149,9 @@
 	states                    string
 }
 
-// waitedForProcessor returns a channel that receives, once a process has exited, what it has
+// sampleUntilExit returns a channel that receives, once a process has exited, what it has
 // waited for since the call.
-func waitedForProcessor(g *gateway) <-chan exitWait {
+func sampleUntilExit(g *gateway) <-chan exitWait {
 	result := make(chan exitWait, 1)
 	first := runQueueDelays(g.PID())
 	go func() {
