Let a peer with the same endpoints confirm them at a later revision of the store

Cause: a peer's later revision counted as newer endpoints. Since lists are made in turns, gateways with the same endpoints know different revisions more often, and the later list was fetched only once the own one was 1.2 s old.

Change: a peer with the same digest of the registrations knows no newer ones.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -118,8 +118,10 @@
 	cancel    context.CancelFunc
 	lastReply time.Time
 	silent    bool
-	// rosterVersion is that of the last reply, and askedAt when it was asked for.
+	// rosterVersion and rosterDigest are those of the last reply, and askedAt when it was
+	// asked for.
 	rosterVersion usher.Version
+	rosterDigest  uint64
 	askedAt       boottime.Time
 	// streams is how much the incarnation of the peer that replied last was told of the
 	// origins of streams. Only runExchanges uses both.
@@ -218,7 +220,7 @@
 		p.recordFailure(remote, err)
 		return
 	}
-	p.markReachable(remote, sentAt, reply.RosterVersion)
+	p.markReachable(remote, sentAt, &reply)
 	if reply.Incarnation != remote.incarnation {
 		// What an earlier incarnation was told is lost.
 		remote.incarnation, streams = reply.Incarnation, streamorigin.Cursor{}
@@ -260,11 +262,11 @@
 	p.deps.Streams.Merge(report.Streams)
 }
 
-func (p *Peering) markReachable(remote *peer, askedAt boottime.Time, rosterVersion usher.Version) {
+func (p *Peering) markReachable(remote *peer, askedAt boottime.Time, reply *Report) {
 	p.mu.Lock()
 	regained := remote.silent
 	remote.lastReply, remote.silent = time.Now(), false
-	remote.askedAt, remote.rosterVersion = askedAt, rosterVersion
+	remote.askedAt, remote.rosterVersion, remote.rosterDigest = askedAt, reply.RosterVersion, reply.RosterDigest
 	p.mu.Unlock()
 	if regained {
 		p.deps.Log.Info().Str("peer", remote.instance.Name).Msg("peerRegained")
@@ -335,10 +337,11 @@
 func (p *Peering) isRosterConfirmed(since boottime.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	own := p.deps.Roster.Snapshot().Revision
+	own := p.deps.Roster.Snapshot()
 	agreeing := 1
 	for _, remote := range p.peers {
-		if remote.rosterVersion > own {
+		// The store's revision also grows without a change of the endpoints.
+		if remote.rosterVersion > own.Revision && remote.rosterDigest != own.Digest {
 			return false
 		}
 		if remote.askedAt >= since {
