Show that a gateway that restarts lets a tenant exceed its quota

Cause: a gateway that saw no request of a tenant lately forgets what its peers report of it, as a charge is made before the bucket is filled, and reports a full bucket to a new process.

--- a/review/_rig2/load.go
+++ b/review/_rig2/load.go
@@ -33,16 +33,20 @@
 	mu     sync.Mutex
 	tries  []try
 	number int
-	// choose picks the gateway of a request; nil stands for the platform's choice.
-	choose func(t *tenant) *gateway
 }
 
 func (w *world) startLoad(scale float64, seed uint64) *load {
-	l := &load{w: w, random: rand.New(rand.NewPCG(seed, 1))}
-	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l := w.newLoad(seed)
 	for i := range classes {
 		go l.send(&classes[i], scale, rand.New(rand.NewPCG(seed, uint64(i)+10)))
 	}
+	return l
+}
+
+// newLoad returns a load without requests.
+func (w *world) newLoad(seed uint64) *load {
+	l := &load{w: w, random: rand.New(rand.NewPCG(seed, 1))}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
 	go l.watchReadiness()
 	return l
 }
@@ -79,19 +83,30 @@
 			at -= t.share
 		}
 		l.clients.Add(1)
-		go l.request(c, t)
+		go l.request(c, t, nil)
 	}
 }
 
-// pick chooses a gateway among those in rotation, other than the last one, if possible.
-func (l *load) pick(t *tenant, last *gateway) *gateway {
-	if l.choose != nil {
-		if g := l.choose(t); g != nil {
-			return g
-		}
+// sendAt sends the requests of a tenant whose clients are in the zone of a gateway, so many a
+// second, until it is stopped.
+func (l *load) sendAt(c *class, t *tenant, home *gateway, perSecond func() float64, random *rand.Rand) {
+	next := time.Now()
+	for l.ctx.Err() == nil {
+		next = next.Add(time.Duration(random.ExpFloat64() / perSecond() * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		l.clients.Add(1)
+		go l.request(c, t, home)
 	}
+}
+
+// pick chooses a gateway among those in rotation, other than the last one, if possible. home is
+// that of the client's zone, or nil.
+func (l *load) pick(home, last *gateway) *gateway {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if home != nil && home.ready {
+		return home
+	}
 	var ready []*gateway
 	for _, g := range l.w.gateways {
 		if g.ready && g != last {
@@ -105,12 +120,12 @@
 }
 
 // request is one request of a client, which retries once after a promise that it has not run.
-func (l *load) request(c *class, t *tenant) {
+func (l *load) request(c *class, t *tenant, home *gateway) {
 	defer l.clients.Done()
 	deadline := time.Now().Add(time.Duration(c.timeoutMS) * time.Millisecond)
 	var last *gateway
 	for attempt := range 2 {
-		last = l.pick(t, last)
+		last = l.pick(home, last)
 		done, wait := l.attempt(c, t, last, deadline, attempt)
 		if done || time.Until(deadline) < 100*time.Millisecond {
 			return
@@ -131,7 +146,7 @@
 	if c.kind == "safe" {
 		method, body = http.MethodGet, nil
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.ip+":8221"+c.path+"x", body)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+g.address(frontend)+c.path+"x", body)
 	if err != nil {
 		fail(err)
 	}
--- a/review/_rig2/process.go
+++ b/review/_rig2/process.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -11,6 +12,13 @@
 // program is the command of the deploy file, relative to the root of the repository.
 const program = "target/filbertusher"
 
+// The indexes of world.ports.
+const (
+	frontend = iota
+	readiness
+	control
+)
+
 // gateway is a gateway process on a machine of its own.
 type gateway struct {
 	w            *world
@@ -21,6 +29,18 @@
 	misses       int
 }
 
+func (g *gateway) address(port int) string { return g.ip + ":" + strconv.Itoa(g.w.ports[port]) }
+
+// stopAll ends all gateways that were started.
+func (w *world) stopAll() {
+	for _, g := range w.started {
+		if g.command.ProcessState == nil {
+			_ = g.command.Process.Kill()
+			_ = g.command.Wait()
+		}
+	}
+}
+
 func (g *gateway) start(bootstrap bool) {
 	g.w.settings(g, bootstrap)
 	g.command = exec.Command(program, "gateway", "--zone-cost=100")
@@ -35,6 +55,7 @@
 	if err := g.command.Start(); err != nil {
 		fail(err)
 	}
+	g.w.started = append(g.w.started, g)
 	g.w.logf("%s starts", g.name)
 }
 
@@ -47,13 +68,12 @@
 func (g *gateway) kill() {
 	g.signal(syscall.SIGKILL)
 	_ = g.command.Wait()
-	g.ready, g.misses = false, 0
 }
 
 // isReady asks the readiness address, as the platform does.
 func (g *gateway) isReady() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + g.ip + ":8224/v1/readyz")
+	response, err := client.Get("http://" + g.address(readiness) + "/v1/readyz")
 	if err != nil {
 		return false
 	}
--- a/review/_rig2/removed.go
+++ b/review/_rig2/removed.go
@@ -26,6 +26,7 @@
 		removed = n
 	}
 	w := newWorld(dir, 12, 14, 4)
+	defer w.stopAll()
 	w.startGateways(4)
 	l := w.startLoad(1, 1)
 	if trouble {
--- a/review/_rig2/world.go
+++ b/review/_rig2/world.go
@@ -60,34 +60,40 @@
 
 // world is a small deployment.
 type world struct {
-	dir      string
-	base     string
-	began    time.Time
-	memory   *store.Memory
-	storeAt  string
-	tenants  []tenant
-	quotaX   float64
+	dir     string
+	base    string
+	began   time.Time
+	memory  *store.Memory
+	storeAt string
+	tenants []tenant
+	quotaX  float64
+	// rates are the quotas of tenants that don't follow from quotaX.
+	rates    map[string]int
 	version  int
 	replicas []*replica
 	gateways []*gateway
 
 	mu     sync.Mutex
 	record *os.File
-	runs   map[string]int
+	runs   []run
 	lastIP int
+	// ports are those of all gateways: for clients, readiness and other gateways.
+	ports   [3]int
+	started []*gateway
 }
 
 // newWorld starts the store and the replicas.
 func newWorld(dir string, engines, slots, desks int) *world {
 	base := fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, os.Getpid()/200%250)
 	w := &world{
-		dir: dir, base: base, began: time.Now(), memory: store.NewMemory(), runs: make(map[string]int), quotaX: 1.8,
+		dir: dir, base: base, began: time.Now(), memory: store.NewMemory(), quotaX: 1.8,
 		tenants: []tenant{{"school", "key-school", 0.35}, {"depot", "key-depot", 0.25}, {"works", "key-works", 0.2}, {"north", "key-north", 0.12}, {"south", "key-south", 0.08}},
 	}
 	var err error
 	if w.record, err = os.Create(os.Getenv("RECORD")); err != nil {
 		fail(err)
 	}
+	w.choosePorts()
 	listener, err := net.Listen("tcp", w.newIP()+":0")
 	if err != nil {
 		fail(err)
@@ -133,6 +139,24 @@
 	return w.base + strconv.Itoa(w.lastIP)
 }
 
+// choosePorts finds ports that are free, and makes sure that the one for metrics is.
+func (w *world) choosePorts() {
+	ip := w.newIP()
+	for i := range w.ports {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			fail(err)
+		}
+		defer listener.Close()
+		w.ports[i] = listener.Addr().(*net.TCPAddr).Port
+	}
+	metrics, err := net.Listen("tcp", ip+":9101")
+	if err != nil {
+		fail(err)
+	}
+	_ = metrics.Close()
+}
+
 func (w *world) since() float64 { return time.Since(w.began).Seconds() }
 
 // logf writes a line to record.txt.
@@ -192,6 +216,9 @@
 	tenants := []map[string]any{}
 	for _, t := range w.tenants {
 		rate := int(w.quotaX * t.share * demand())
+		if set, found := w.rates[t.name]; found {
+			rate = set
+		}
 		tenants = append(tenants, map[string]any{"name": t.name, "api_keys": []string{t.key}, "priority": 1, "unit": "tokens", "plain_tokens": plainTokens, "rate_per_s": rate, "burst": rate})
 	}
 	w.write("config/main", map[string]any{
@@ -263,10 +290,11 @@
 	case <-in.Context().Done():
 		return
 	}
+	begun := run{id: id, tenant: in.Header.Get("X-Filbertusher-Tenant-Id"), at: time.Now(), tokens: tokensOf(in.Header.Get("X-Filbertusher-Token-Count"))}
 	r.w.mu.Lock()
-	r.w.runs[id]++
+	r.w.runs = append(r.w.runs, begun)
 	r.w.mu.Unlock()
-	r.w.logf("%s runs %s of tenant %s", r.id, id, in.Header.Get("X-Filbertusher-Tenant-Id"))
+	r.w.logf("%s runs %s of tenant %s, %d tokens", r.id, id, begun.tenant, begun.tokens)
 	header.Set("X-Filbertusher-Response-Seal", "seal-"+id)
 	c := classOf(in.URL.Path)
 	if !r.engine {
@@ -289,6 +317,24 @@
 	}
 }
 
+// run is a request that a replica began to run.
+type run struct {
+	id, tenant string
+	at         time.Time
+	tokens     int
+}
+
+// tokensOf returns what a request counts for in a quota.
+func tokensOf(header string) int {
+	prompt, answer, found := strings.Cut(header, ",")
+	if !found {
+		return plainTokens
+	}
+	p, _ := strconv.Atoi(prompt)
+	a, _ := strconv.Atoi(answer)
+	return p + a
+}
+
 func (r *replica) refuse(out http.ResponseWriter) {
 	out.Header().Set("X-Filbertusher-Not-Executed", "1")
 	out.WriteHeader(http.StatusServiceUnavailable)
@@ -307,7 +353,7 @@
 func (w *world) settings(g *gateway, bootstrap bool) {
 	seeds := []string{}
 	for _, other := range w.gateways[:min(3, len(w.gateways))] {
-		seeds = append(seeds, strconv.Quote(other.ip+":8229"))
+		seeds = append(seeds, strconv.Quote(other.address(control)))
 	}
 	text := fmt.Sprintf(`node_name = %q
 role = "gateway"
@@ -327,9 +373,9 @@
 [zones]
 zone-bern = "ch-mittelland"
 [listen]
-frontend = "%[2]s:8221"
-readiness = "%[2]s:8224"
-control_plane = "%[2]s:8229"
+frontend = "%[2]s:%[6]d"
+readiness = "%[2]s:%[7]d"
+control_plane = "%[2]s:%[8]d"
 [limits]
 cpu_share = 0.304
 cores = 1
@@ -372,7 +418,7 @@
 history_s = 20
 value_bytes = 1048576
 ttl_min_ms = 1000
-`, g.name, g.ip, strings.Join(seeds, ","), bootstrap, w.storeAt)
+`, g.name, g.ip, strings.Join(seeds, ","), bootstrap, w.storeAt, w.ports[frontend], w.ports[readiness], w.ports[control])
 	if err := os.WriteFile(g.settingsPath, []byte(text), 0o600); err != nil {
 		fail(err)
 	}
