Show that a preempted stream is worked on twice

Cause: the rest of a stream is sent elsewhere after 2 s of silence of a replica that can be reached, and closing the connection is taken to end the work there.

--- a/review/_rig2/world.go
+++ b/review/_rig2/world.go
@@ -75,7 +75,7 @@
 
 	mu     sync.Mutex
 	record *os.File
-	runs   []run
+	runs   []*run
 	lastIP int
 	// ports are those of all gateways: for clients, readiness and other gateways.
 	ports   [3]int
@@ -240,8 +240,11 @@
 	slots       chan struct{}
 	queue       chan struct{}
 	engine      bool
-	address     string
-	born        int64
+	// preempts is how long the replica preempts each request after its tenth event. Such a
+	// replica does not drop a request when its connection closes.
+	preempts time.Duration
+	address  string
+	born     int64
 }
 
 func (w *world) addReplica(service, id string, slots, queue int, engine bool) {
@@ -290,11 +293,12 @@
 	case <-in.Context().Done():
 		return
 	}
-	begun := run{id: id, tenant: in.Header.Get("X-Filbertusher-Tenant-Id"), at: time.Now(), tokens: tokensOf(in.Header.Get("X-Filbertusher-Token-Count"))}
+	begun := &run{id: id, replica: r.id, tenant: in.Header.Get("X-Filbertusher-Tenant-Id"), at: time.Now(), tokens: tokensOf(in.Header.Get("X-Filbertusher-Token-Count"))}
 	r.w.mu.Lock()
 	r.w.runs = append(r.w.runs, begun)
 	r.w.mu.Unlock()
 	r.w.logf("%s runs %s of tenant %s, %d tokens", r.id, id, begun.tenant, begun.tokens)
+	defer r.ended(begun)
 	header.Set("X-Filbertusher-Response-Seal", "seal-"+id)
 	c := classOf(in.URL.Path)
 	if !r.engine {
@@ -309,6 +313,13 @@
 	for event := last + 1; event <= c.events; event++ {
 		_, _ = fmt.Fprintf(out, "id: %d\ndata: %s\n\n", event, strings.Repeat("t", 40))
 		_ = http.NewResponseController(out).Flush()
+		if r.preempts > 0 {
+			if event == 10 && last == 0 {
+				time.Sleep(r.preempts)
+			}
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
 		select {
 		case <-time.After(20 * time.Millisecond):
 		case <-in.Context().Done():
@@ -319,9 +330,18 @@
 
 // run is a request that a replica began to run.
 type run struct {
-	id, tenant string
-	at         time.Time
-	tokens     int
+	id, tenant, replica string
+	at                  time.Time
+	tokens              int
+	// end is when the replica stopped to work on it; it is zero before.
+	end time.Time
+}
+
+func (r *replica) ended(of *run) {
+	r.w.mu.Lock()
+	of.end = time.Now()
+	r.w.mu.Unlock()
+	r.w.logf("%s no longer works on %s", r.id, of.id)
 }
 
 // tokensOf returns what a request counts for in a quota.
