--- a/review/_assay/main.go
+++ b/review/_assay/main.go
@@ -15,7 +15,9 @@
 
 // cases return whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
-	"leftover": leftover,
+	"leftover":  leftover,
+	"storm":     storm,
+	"latecomer": latecomer,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_assay/world.go
+++ b/review/_assay/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -214,7 +215,7 @@
 	if err != nil {
 		return err
 	}
-	g.command = exec.Command("target/filbertusher", "gateway", "--zone-cost=100")
+	g.command = exec.Command(cmp.Or(os.Getenv("ASSAY_PROGRAM"), "target/filbertusher"), "gateway", "--zone-cost=100")
 	g.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FILBERTUSHER_CONFIG=" + g.settings}
 	g.command.Stdout, g.command.Stderr = log, log
 	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
