--- a/review/_assay/world.go
+++ b/review/_assay/world.go
@@ -113,9 +113,11 @@
 
 // gatewayProcess is one gateway, started with the command of the deploy file.
 type gatewayProcess struct {
-	world                    *world
-	name, ip                 string
-	settings                 string
+	world    *world
+	name, ip string
+	settings string
+	// storeAddress is used in place of the store's own, if it is set.
+	storeAddress             string
 	callers, readiness, peer string
 	command                  *exec.Cmd
 	exited                   chan struct{}
