--- a/review/_assay/world.go
+++ b/review/_assay/world.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,8 @@
 	"filbertusher/pkg/usher"
 )
 
+var errNotReady = errors.New("a gateway did not become ready")
+
 // journal is record.txt: what was sent, answered and run.
 type journal struct {
 	mu    sync.Mutex
