--- a/review/_assay/main.go
+++ b/review/_assay/main.go
@@ -15,6 +15,7 @@
 
 // cases return whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
+	"blamed":    blamed,
 	"darkcrash": darkCrash,
 	"heldend":   heldEnd,
 	"storm":     storm,
--- a/review/_assay/replica.go
+++ b/review/_assay/replica.go
@@ -34,6 +34,8 @@
 	arrivals    []arrival
 	conns       map[net.Conn]bool
 	crashed     bool
+	// running is the number of streams that run now.
+	running int
 	// serve, if it is set, answers in place of the usual answer. It returns false to close
 	// the connection.
 	serve func(r *replica, conn net.Conn, request *http.Request, body []byte) bool
