Count the clients of a crowd before the first of them is done

Cause: come called connecting.Add in the loop that starts the clients, beside their connecting.Wait. If all clients started so far were done before the next Add, Wait returned and the group began anew. That is a race of the test itself. Change: all clients are counted before the first starts. They all still connect before any of them sends, which the race did not ensure.

--- a/test/crowd/client_test.go
+++ b/test/crowd/client_test.go
@@ -118,9 +118,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	sendUntil := time.Now().Add(sendTime)
 	var connecting, sending, staying sync.WaitGroup
+	// Clients wait for each other, so all are counted before the first is done.
+	connecting.Add(c.connections)
+	sending.Add(c.connections)
 	for range c.connections {
-		connecting.Add(1)
-		sending.Add(1)
 		staying.Go(func() {
 			conn := dial(ctx, address, sendUntil)
 			connecting.Done()
