Ask the connection for errors when an unframed body ends

What callers saw: the part of a body that had arrived, as a complete 200, when a replica answered a long upload early without a length and reset the connection while the upload was still written.

Cause: such a body ends with its connection, and the reader took any io.EOF for a sound end. The kernel reports a reset once, to the first call. Where that is the write of the request, running beside the reads, the next read gets io.EOF. A reset that follows the end of the other half of the connection is reported to no read at all. And after a read has got the error, the next one gets io.EOF too.

Fix: upstream.Response.Body returns io.EOF for an unframed body only after the write of the request ended without an error, the endpoint has acknowledged all of it, and the kernel still knows the connection (TCP_INFO). An endpoint that is gone resets the connection when the rest of the request arrives, so the wait shows that. TCP_USER_TIMEOUT and the context bound it. Any error of a read is kept. Whole answers, streams, their rests, and copies all read this one body; answers that are discarded need a length already, and unframed connections were never used again.

FuzzResponses now lets the write of its request end, because the end of an unframed body waits for it.

Not seen: a reset that arrives after the end was read and all of the request was acknowledged.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -117,7 +118,7 @@
 // stillIdle reports whether the endpoint has neither closed the connection nor sent
 // anything since the last response.
 func (c *conn) stillIdle() bool {
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := c.syscallConn()
 	if err != nil {
 		return false
 	}
@@ -131,6 +132,16 @@
 	return err == nil && stillIdle
 }
 
+// syscallConn returns the connection's socket. The error is errors.ErrUnsupported if it has
+// none.
+func (c *conn) syscallConn() (syscall.RawConn, error) {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return socket.SyscallConn()
+}
+
 // reuseIdleLimit returns how long a connection may have been idle to be reused for
 // a request that can't be retried.
 func (p *Pool) reuseIdleLimit() time.Duration {
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -85,7 +85,9 @@
 		if reused {
 			c.served = 1
 		}
-		response, err := New(idCodec{}, "zone").readResponse(c, &Request{ID: "1", Method: http.MethodGet}, make(chan error))
+		written := make(chan error, 1)
+		written <- nil
+		response, err := New(idCodec{}, "zone").readResponse(c, &Request{ID: "1", Method: http.MethodGet}, written)
 		if err != nil {
 			return
 		}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -107,12 +107,12 @@
 	// Length is the length of the body in bytes, or -1 if the header does not state
 	// it.
 	Length int64
-	// Body returns io.EOF only at the end of a complete body.
+	// Body returns io.EOF only at the end of a complete body. The end of an unframed one may
+	// wait for the write of the request.
 	Body io.Reader
 
 	conn        *conn
 	sentAt      boottime.Time
-	body        io.ReadCloser
 	reusable    bool
 	framed      bool
 	writeResult <-chan error
@@ -215,10 +215,14 @@
 			// has written once more.
 			return nil, &InvalidResponseError{Reason: "an answer without the id of its request"}
 		}
+		framed := hasFraming(response)
+		if !framed && response.Body != http.NoBody {
+			response.Body = &unframedBody{ReadCloser: response.Body, conn: c, writeResult: writeResult}
+		}
 		return &Response{
 			Status: response.StatusCode, Header: response.Header, Metadata: metadata,
-			Length: response.ContentLength, Body: response.Body, body: response.Body,
-			conn: c, writeResult: writeResult, reusable: reusable && !refused && !response.Close, framed: hasFraming(response),
+			Length: response.ContentLength, Body: response.Body,
+			conn: c, writeResult: writeResult, reusable: reusable && !refused && !response.Close, framed: framed,
 		}, nil
 	}
 }
--- a/test/gateway/endless_test.go
+++ b/test/gateway/endless_test.go
@@ -20,15 +20,33 @@
 	id      string
 	address string
 
+	// early is set if requests are answered before their bodies are read.
+	early bool
+
 	mu sync.Mutex
 	// open is the number of open connections, and most the highest that it was.
 	open, most int
 }
 
 func newScriptedReplica(t *testing.T, id string, answer func(conn net.Conn, request *http.Request)) *scriptedReplica {
+	t.Helper()
+	r := &scriptedReplica{id: id}
+	r.start(t, answer)
+	return r
+}
+
+// newEarlyReplica returns a scripted replica whose function reads the bodies of requests.
+func newEarlyReplica(t *testing.T, id string, answer func(conn net.Conn, request *http.Request)) *scriptedReplica {
+	t.Helper()
+	r := &scriptedReplica{id: id, early: true}
+	r.start(t, answer)
+	return r
+}
+
+func (r *scriptedReplica) start(t *testing.T, answer func(conn net.Conn, request *http.Request)) {
 	t.Helper()
 	listener := listenAlone(t)
-	r := &scriptedReplica{id: id, address: listener.Addr().String()}
+	r.address = listener.Addr().String()
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -38,7 +56,6 @@
 			go r.serve(conn, answer)
 		}
 	}()
-	return r
 }
 
 func (r *scriptedReplica) serve(conn net.Conn, answer func(net.Conn, *http.Request)) {
@@ -51,7 +68,9 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+		if !r.early {
+			_, _ = io.Copy(io.Discard, request.Body)
+		}
 		answer(conn, request)
 	}
 }
