Reject responses whose status is out of the valid range, and 101

What callers saw: behind companions an answer with the status 0, 20, 99, 101, 600 or 999, body and all; a request to cancel that got such a status counted as done. Behind gateways 600 to 999 as it was; and after a head with 000 to 099, or 101, what followed it as their answer: a body that looks like a sealed 200 became one.

Cause: net/http's parser accepts any three characters that make a number from 0 on (also "+20"). The gateway took everything below 200 for an interim response and read on; that is meant for 100 to 199 only. The companion relied on net/http.

Fix: httpresponse.Verify checks each head that net/http has parsed, interim ones too, by the range of RFC 9110, section 15. 101 is invalid because no request asks for another protocol. Gateways and companions share it, and its error takes the place of upstream.InvalidResponseError, so that there is one type for it.

--- a/internal/endpoint/http.go
+++ b/internal/endpoint/http.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"sync/atomic"
 
+	"filbertusher/internal/httpresponse"
 	"filbertusher/internal/intake"
 	"filbertusher/pkg/usher"
 )
@@ -69,7 +70,7 @@
 	echoes    atomic.Bool
 }
 
-// do sends a request with its ID and checks that the response belongs to it.
+// do sends a request with its ID and checks that the response is valid and belongs to it.
 func (c *client) do(request *http.Request, id usher.RequestID, operation string) (*http.Response, error) {
 	if id != "" {
 		request.Header.Set(headerRequestID, string(id))
@@ -79,6 +80,10 @@
 	if err != nil {
 		return nil, &usher.BackendError{Operation: operation, Reached: !isDialError(err), Cause: err}
 	}
+	if err := httpresponse.Verify(response); err != nil {
+		_ = response.Body.Close()
+		return nil, &usher.BackendError{Operation: operation, Reached: true, Cause: err}
+	}
 	echoed := usher.RequestID(response.Header.Get(headerRequestID))
 	if echoed == "" {
 		return response, nil
--- a/internal/gateway/copy.go
+++ b/internal/gateway/copy.go
@@ -9,6 +9,7 @@
 
 	"filbertusher/internal/dispatch"
 	"filbertusher/internal/hedge"
+	"filbertusher/internal/httpresponse"
 	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
 )
@@ -219,7 +220,7 @@
 	if !response.Metadata.Sealed {
 		response.Close(false)
 		grant.End(dispatch.Failed)
-		return nil, attemptResult{outcome: lost, cause: &upstream.InvalidResponseError{Reason: "a stream that the endpoint does not vouch for"}}
+		return nil, attemptResult{outcome: lost, cause: &httpresponse.InvalidError{Reason: "a stream that the endpoint does not vouch for"}}
 	}
 	events := upstream.NewEventReader(response.Body)
 	if err := events.Peek(); err != nil && !errors.Is(err, io.EOF) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"filbertusher/internal/dispatch"
+	"filbertusher/internal/httpresponse"
 	"filbertusher/internal/intake"
 	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
@@ -77,7 +78,7 @@
 	}
 	if !mayForwardStatus(response) {
 		grant.End(dispatch.Failed)
-		return buffered, attemptResult{outcome: lost, cause: &upstream.InvalidResponseError{Reason: "status " + strconv.Itoa(response.Status) + " that the endpoint does not vouch for"}}
+		return buffered, attemptResult{outcome: lost, cause: &httpresponse.InvalidError{Reason: "status " + strconv.Itoa(response.Status) + " that the endpoint does not vouch for"}}
 	}
 	if isRetryableStatus(response.Status) {
 		grant.End(dispatch.Failed)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"filbertusher/internal/dispatch"
+	"filbertusher/internal/httpresponse"
 	"filbertusher/internal/telemetry"
 	"filbertusher/internal/upstream"
 	"filbertusher/pkg/usher"
@@ -46,7 +47,7 @@
 	if !response.Metadata.Sealed {
 		response.Close(false)
 		grant.End(dispatch.Failed)
-		return attemptResult{outcome: lost, cause: &upstream.InvalidResponseError{Reason: "a stream that the endpoint does not vouch for"}}
+		return attemptResult{outcome: lost, cause: &httpresponse.InvalidError{Reason: "a stream that the endpoint does not vouch for"}}
 	}
 	if events == nil {
 		events = upstream.NewEventReader(response.Body)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"filbertusher/internal/httpresponse"
 )
 
 const (
@@ -108,7 +110,7 @@
 		return l.conn.Read(buf)
 	}
 	if l.remaining == 0 {
-		return 0, &InvalidResponseError{Reason: "a header that is too long"}
+		return 0, &httpresponse.InvalidError{Reason: "a header that is too long"}
 	}
 	n, err := l.conn.Read(buf[:min(len(buf), l.remaining)])
 	l.remaining -= n
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"filbertusher/internal/httpresponse"
 )
 
 // maxEventBytes bounds one event of a stream. All streams of an instance may hold an
@@ -68,7 +70,7 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			if len(e.raw) > maxEventBytes {
-				return Event{}, &InvalidResponseError{Reason: "an event that is too long"}
+				return Event{}, &httpresponse.InvalidError{Reason: "an event that is too long"}
 			}
 			continue
 		case errors.Is(err, io.EOF) && len(e.raw) > 0:
@@ -77,7 +79,7 @@
 			return Event{}, err
 		}
 		if len(e.raw) > maxEventBytes {
-			return Event{}, &InvalidResponseError{Reason: "an event that is too long"}
+			return Event{}, &httpresponse.InvalidError{Reason: "an event that is too long"}
 		}
 		line := bytes.TrimRight(e.raw[lineStart:], "\r\n")
 		lineStart = len(e.raw)
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -72,6 +72,7 @@
 		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
 		"HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nunframed", "\x00garbage",
+		"HTTP/1.1 000 None\r\nId: 1\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 600 None\r\nId: 1\r\n\r\nhi",
 		"HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhi",
 	} {
 		f.Add([]byte(sent), false)
@@ -94,6 +95,9 @@
 		if id := response.Metadata.ID; id != "1" && (id != "" || reused || !response.Metadata.NotRun) {
 			t.Errorf("a response with the ID %q", id)
 		}
+		if response.Status < http.StatusOK || response.Status > 599 {
+			t.Errorf("a response with the status %d", response.Status)
+		}
 		body, err := io.ReadAll(response.Body)
 		if len(body) > len(sent) {
 			t.Errorf("a body of %d bytes from %d", len(body), len(sent))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,6 +19,7 @@
 
 	"filbertusher/internal/boottime"
 	"filbertusher/internal/dial"
+	"filbertusher/internal/httpresponse"
 	"filbertusher/pkg/usher"
 )
 
@@ -52,7 +53,8 @@
 func (e *NotSentError) Unwrap() error { return e.Cause }
 
 // ResponseLostError is returned for a request that the endpoint may have run, but to
-// which no valid response arrived.
+// which no valid response arrived. If the endpoint sent something else, the cause is an
+// *httpresponse.InvalidError.
 type ResponseLostError struct {
 	Cause error
 	// Reused is set if the connection had served a request before.
@@ -65,16 +67,6 @@
 // Unwrap returns the cause.
 func (e *ResponseLostError) Unwrap() error { return e.Cause }
 
-// InvalidResponseError means that the endpoint sent something that is not a valid
-// response to the request. It is the cause of a ResponseLostError or, if the body is
-// invalid, an error of reading the body.
-type InvalidResponseError struct{ Reason string }
-
-// Error implements error.
-func (e *InvalidResponseError) Error() string {
-	return "the endpoint sent no valid answer: " + e.Reason
-}
-
 // Request is a request to an endpoint.
 type Request struct {
 	ID     usher.RequestID
@@ -194,7 +186,11 @@
 		if err != nil {
 			return nil, p.readError(err, writeResult)
 		}
+		if err := httpresponse.Verify(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode < http.StatusOK {
+			// An interim response. The one that follows is read from the same header budget.
 			continue
 		}
 		metadata := p.codec.ResponseMetadata(response.StatusCode, response.Header)
@@ -202,7 +198,7 @@
 			// A late response to an earlier request on this connection.
 			reusable = false
 			if strays++; strays > maxStrays {
-				return nil, &InvalidResponseError{Reason: "answers to other requests without end"}
+				return nil, &httpresponse.InvalidError{Reason: "answers to other requests without end"}
 			}
 			if err := c.discardBody(response); err != nil {
 				return nil, err
@@ -213,7 +209,7 @@
 		if metadata.ID == "" && (!refused || c.served > 0) {
 			// On a connection that was used before, a refusal may be one that the endpoint
 			// has written once more.
-			return nil, &InvalidResponseError{Reason: "an answer without the id of its request"}
+			return nil, &httpresponse.InvalidError{Reason: "an answer without the id of its request"}
 		}
 		framed := hasFraming(response)
 		if !framed && response.Body != http.NoBody {
@@ -241,11 +237,11 @@
 		return io.ErrUnexpectedEOF
 	}
 	var netErr net.Error
-	invalid := new(InvalidResponseError)
+	invalid := new(httpresponse.InvalidError)
 	if errors.As(err, &netErr) || errors.As(err, &invalid) {
 		return err
 	}
-	return &InvalidResponseError{Reason: err.Error()}
+	return &httpresponse.InvalidError{Reason: err.Error()}
 }
 
 func hasFraming(response *http.Response) bool {
@@ -254,14 +250,14 @@
 
 func (c *conn) discardBody(response *http.Response) error {
 	if !hasFraming(response) {
-		return &InvalidResponseError{Reason: "an answer to another request without a length"}
+		return &httpresponse.InvalidError{Reason: "an answer to another request without a length"}
 	}
 	headRemaining := c.head.remaining
 	c.head.remaining = noHeadLimit
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
 	c.head.remaining = headRemaining
 	if err == nil && n == maxStrayBytes {
-		err = &InvalidResponseError{Reason: "a long answer to another request"}
+		err = &httpresponse.InvalidError{Reason: "a long answer to another request"}
 	}
 	return err
 }
