Reject responses in which the name of a field is no token

What callers saw: answers with a blank in the name of a field, or before its colon, as complete, on all kinds of routes, behind gateways and companions. The line itself was not passed on. With "Transfer-Encoding : chunked" the body was the lines of the chunks, with the seal, and with a Content-Length beside it the first bytes of them.

Cause: net/http's parser keeps a name with a blank as it is, by intent, and does not take it for the field that it resembles. So it framed the body without it. It rejects all other names that are no tokens, and control bytes in values. Nobody else checked. Trailers are read by the same parser.

Fix: httpresponse.Verify checks the names by httpguts, in heads and, when the body ends, in trailers.

Not checked: the names in interim responses at companions, which net/http does not show.

--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -4,8 +4,13 @@
 package httpresponse
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // The range of valid status codes (RFC 9110, section 15).
@@ -21,9 +26,15 @@
 func (e *InvalidError) Error() string { return "no valid answer was received: " + e.Reason }
 
 // Verify returns an *InvalidError unless the head of a response, which may be an interim one, is
-// valid.
+// valid. It also lets reads of the body fail with an *InvalidError if the trailer is invalid.
 func Verify(response *http.Response) error {
-	return verifyStatus(response.StatusCode)
+	if err := verifyStatus(response.StatusCode); err != nil {
+		return err
+	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &chunkedBody{ReadCloser: response.Body, response: response}
+	}
+	return verifyNames(response.Header)
 }
 
 // verifyStatus rejects codes that are not in the valid range, and the change to another
@@ -34,3 +45,33 @@
 	}
 	return nil
 }
+
+// verifyNames rejects names of fields that are not tokens (RFC 9110, section 5.1). The parser
+// accepts blanks, also before the colon, where they hide fields such as Transfer-Encoding. It
+// checks the values itself.
+func verifyNames(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &InvalidError{Reason: "a field with the name " + strconv.Quote(name)}
+		}
+	}
+	return nil
+}
+
+// chunkedBody is a body that may have a trailer. The parser has read that when the body returns
+// io.EOF.
+type chunkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *chunkedBody) Read(buf []byte) (int, error) {
+	n, err := b.ReadCloser.Read(buf)
+	if errors.Is(err, io.EOF) {
+		if invalid := verifyNames(b.response.Trailer); invalid != nil {
+			err = invalid
+		}
+	}
+	return n, err
+}
