Reject responses of other versions of HTTP, or with control bytes in the reason phrase

What callers saw: answers that begin with HTTP/2.0, HTTP/0.9 or HTTP/3.1, or whose reason phrase holds NUL, CR or DEL, as complete. The reason phrase was not passed on.

Cause: net/http's parser accepts any two digits as the version, and any bytes as the reason.

Fix: httpresponse.Verify accepts HTTP/1 only, with a later minor version read as HTTP/1.1 (RFC 9110, section 2.5), and checks the reason phrase (RFC 9112, section 4). No reason phrase, tabs and bytes over 127 in it, blanks around the code, HTTP/1.0 and HTTP/1.2 are accepted as before (the same tests).

--- a/internal/httpresponse/httpresponse.go
+++ b/internal/httpresponse/httpresponse.go
@@ -28,7 +28,7 @@
 // Verify returns an *InvalidError unless the head of a response, which may be an interim one, is
 // valid. It also lets reads of the body fail with an *InvalidError if the trailer is invalid.
 func Verify(response *http.Response) error {
-	if err := verifyStatus(response.StatusCode); err != nil {
+	if err := verifyStatusLine(response); err != nil {
 		return err
 	}
 	if len(response.TransferEncoding) > 0 {
@@ -37,11 +37,18 @@
 	return verifyNames(response.Header)
 }
 
-// verifyStatus rejects codes that are not in the valid range, and the change to another
-// protocol, for which no request asks.
-func verifyStatus(status int) error {
-	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+// verifyStatusLine rejects codes that are not in the valid range and the change to another
+// protocol, for which no request asks. A later minor version is read as HTTP/1.1 (RFC 9110,
+// section 2.5), and a reason phrase has no control bytes (RFC 9112, section 4).
+func verifyStatusLine(response *http.Response) error {
+	status := response.StatusCode
+	switch {
+	case response.ProtoMajor != 1:
+		return &InvalidError{Reason: "version " + response.Proto}
+	case status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols:
 		return &InvalidError{Reason: fmt.Sprintf("status %03d", status)}
+	case !httpguts.ValidHeaderFieldValue(response.Status):
+		return &InvalidError{Reason: "a status line with " + strconv.Quote(response.Status)}
 	}
 	return nil
 }
