Reject responses whose framing is faulty, which net/http's parser hides

What callers saw: "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked" gave them the lines of the chunks as the body, with the seal, and with a Content-Length beside it the first bytes of them. HTTP/1.1 with both fields was passed on as well.

Cause: the parser deletes Transfer-Encoding from a header of HTTP/1.0 and frames the body without it, and deletes a Content-Length beside chunks. Nothing of that shows in the response it returns. RFC 9112, section 6.1, has the first treated as faulty framing; section 6.3 says of the second that it ought to be handled as an error, as it may be an attempt to split responses.

Differing, empty and signed lengths and other transfer encodings failed before too.

Fix: httpresponse.FramingScanner reads the heads as their bytes arrive. Gateways use it where they bound heads already, for each response on a connection, also behind one to another request. Companions and the store's client use it through httpresponse.Transport, which begins a scan when net/http takes a connection for a request.

--- a/internal/command/companion.go
+++ b/internal/command/companion.go
@@ -12,6 +12,7 @@
 	"filbertusher/internal/blame"
 	"filbertusher/internal/companion"
 	"filbertusher/internal/endpoint"
+	"filbertusher/internal/httpresponse"
 	"filbertusher/internal/journal"
 	"filbertusher/internal/ledger"
 	"filbertusher/internal/peerrpc"
@@ -87,9 +88,9 @@
 )
 
 func (p *companionProcess) backend() usher.Backend {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: httpresponse.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: p.maxRunning, DisableCompression: true, MaxResponseHeaderBytes: maxEndpointHeaderBytes,
-	}}
+	})}
 	responseMemory := int64(p.memoryLimit) * mebibyte / companionResponseMemoryDivisor
 	if p.protocol == string(usher.ServicePlain) {
 		return endpoint.NewPlainClient(p.endpointAddress, client, responseMemory)
--- a/internal/endpoint/invalid_test.go
+++ b/internal/endpoint/invalid_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"filbertusher/internal/httpresponse"
 	"filbertusher/pkg/usher"
 )
 
@@ -58,7 +59,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	transport := &http.Transport{}
+	transport := httpresponse.NewTransport(&http.Transport{})
 	defer transport.CloseIdleConnections()
 	address, httpClient := listener.Addr().String(), &http.Client{Transport: transport}
 	plain, model := NewPlainClient(address, httpClient, 64<<20), NewModelClient(address, httpClient, 64<<20)
--- a/internal/httpresponse/httpresponse_test.go
+++ b/internal/httpresponse/httpresponse_test.go
@@ -20,16 +20,22 @@
 	datadriven.RunTest(t, "testdata/verify", func(t *testing.T, d *datadriven.TestData) string {
 		var read strings.Builder
 		for line := range strings.Lines(d.Input) {
-			text, err := strconv.Unquote(`"` + strings.TrimSpace(line) + `"`)
-			if err != nil {
-				t.Fatal(err)
-			}
-			read.WriteString(readResponse(text) + "\n")
+			read.WriteString(readResponse(unquote(t, line)) + "\n")
 		}
 		return read.String()
 	})
 }
 
+// unquote returns the bytes that a line of test data stands for.
+func unquote(t *testing.T, line string) string {
+	t.Helper()
+	text, err := strconv.Unquote(`"` + strings.TrimSpace(line) + `"`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
 func readResponse(text string) string {
 	response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(text)), nil)
 	if err != nil {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -98,10 +98,17 @@
 )
 
 // headLimiter reads from a connection and fails after maxHeadBytes of header, which may
-// include the beginning of the body.
+// include the beginning of the body, or when a header states a faulty framing.
 type headLimiter struct {
 	conn      net.Conn
 	remaining int
+	framing   httpresponse.FramingScanner
+}
+
+// beginResponse prepares for the headers of a response. buffered is what was read of it.
+func (l *headLimiter) beginResponse(buffered []byte) error {
+	l.framing = httpresponse.FramingScanner{}
+	return l.framing.Scan(buffered)
 }
 
 // Read implements io.Reader.
@@ -114,6 +121,9 @@
 	}
 	n, err := l.conn.Read(buf[:min(len(buf), l.remaining)])
 	l.remaining -= n
+	if invalid := l.framing.Scan(buf[:n]); invalid != nil {
+		return 0, invalid
+	}
 	return n, err
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -181,6 +181,9 @@
 	reusable := true
 	c.head.remaining = maxHeadBytes
 	defer func() { c.head.remaining = noHeadLimit }()
+	if err := c.beginResponse(); err != nil {
+		return nil, err
+	}
 	for strays := 0; ; {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -203,6 +206,9 @@
 			if err := c.discardBody(response); err != nil {
 				return nil, err
 			}
+			if err := c.beginResponse(); err != nil {
+				return nil, err
+			}
 			continue
 		}
 		refused := metadata.NotRun || metadata.OtherEndpoint
@@ -248,6 +254,15 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
+// beginResponse prepares for the next response, of which some may have been read already.
+func (c *conn) beginResponse() error {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.beginResponse(buffered)
+}
+
 func (c *conn) discardBody(response *http.Response) error {
 	if !hasFraming(response) {
 		return &httpresponse.InvalidError{Reason: "an answer to another request without a length"}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -143,6 +143,10 @@
 		{"garbage", "\x00\x01garbage\r\n\r\n"},
 		{"no id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"},
 		{"short body", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nhi"},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
+		{"chunks in HTTP/1.0 after a stray response", okResponse("0", "x") + "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nhi"},
+		{"stray chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 0\r\nConnection: keep-alive\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nhi" + okResponse("1", "mine")},
+		{"chunks and a length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"},
 		{"cut chunk", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel"},
 	} {
 		e := listen(t, respondWith(c.response))
