Keep a connection only if the endpoint has received the whole request

What callers saw: 502 for a sound upload, where the replica had answered the upload before it early, with a length or chunks, and reset that connection while it was still to be read.

Cause: a response that is read to its end returned its connection to the pool once the write of its request had ended. The write ends when the socket buffers hold the rest of the body. The next request was sent on that connection, and met the reset.

Fix: after a request whose body is written beside the reads, the connection is kept only if the kernel of the endpoint has acknowledged all of it, by the same question as at an unframed end. Requests with shorter bodies are written before the response is read, and need no question.

What remains: an endpoint that has received all of a request into its buffers, and resets the connection later, is not told from one that keeps it.

--- a/internal/upstream/reset_test.go
+++ b/internal/upstream/reset_test.go
@@ -187,6 +187,45 @@
 	}
 }
 
+// A connection is kept after a response to a long request only if the endpoint has received all
+// of that. One that has not may reset the connection during the next request.
+func TestConnectionIsKeptOnceRequestWasReceived(t *testing.T) {
+	const (
+		// The write of such a body ends, because the socket buffers of this side grow.
+		bodyBytes = 1 << 20
+		exchanges = 20
+	)
+	keeps := func(readBytes int64) (kept bool) {
+		release, read := make(chan struct{}), make(chan struct{})
+		defer close(release)
+		e := respondEarly(t, okResponse("1", "hello"), func(_ *net.TCPConn, reader *bufio.Reader) {
+			_, _ = io.CopyN(io.Discard, reader, readBytes)
+			close(read)
+			<-release
+		})
+		pool, response := e.upload(t, bodyBytes)
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			t.Fatal(err)
+		}
+		close(e.read)
+		<-read
+		time.Sleep(settleTime)
+		response.Close(true)
+		_, _, idle := pool.Stats()
+		return idle > 0
+	}
+	if keeps(0) {
+		t.Error("a connection was kept, of which the endpoint has not read the request")
+	}
+	// The result of a write may be late on a busy machine.
+	for range exchanges {
+		if keeps(bodyBytes) {
+			return
+		}
+	}
+	t.Errorf("no connection was kept in %d exchanges", exchanges)
+}
+
 // A write that does not end is no end of a body either: when the request is given up, so is
 // the body.
 func TestUnframedBodyWaitsForWrite(t *testing.T) {
--- a/internal/upstream/unframed.go
+++ b/internal/upstream/unframed.go
@@ -65,21 +65,28 @@
 // error if the connection was reset, also if that was reported to an earlier call.
 func (c *conn) awaitAck() error {
 	for {
-		info, err := c.tcpInfo()
-		switch {
-		case errors.Is(err, errors.ErrUnsupported):
-			return nil
-		case err != nil:
+		if acknowledged, err := c.acknowledged(); acknowledged || err != nil {
 			return err
-		case info.State == unix.BPF_TCP_CLOSE:
-			return syscall.ECONNRESET
-		case info.Unacked == 0 && info.Notsent_bytes == 0:
-			return nil
 		}
 		time.Sleep(ackPollInterval)
 	}
 }
 
+// acknowledged reports whether the other side has acknowledged all that was written, and
+// returns an error as awaitAck does. On a connection without a socket nothing is known of it.
+func (c *conn) acknowledged() (bool, error) {
+	info, err := c.tcpInfo()
+	switch {
+	case errors.Is(err, errors.ErrUnsupported):
+		return true, nil
+	case err != nil:
+		return false, err
+	case info.State == unix.BPF_TCP_CLOSE:
+		return false, syscall.ECONNRESET
+	}
+	return info.Unacked == 0 && info.Notsent_bytes == 0, nil
+}
+
 // tcpInfo returns the kernel's state of the connection.
 func (c *conn) tcpInfo() (info *unix.TCPInfo, err error) {
 	raw, err := c.syscallConn()
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -85,10 +85,14 @@
 	MaxIdle int
 }
 
+// isLong reports whether the request is written while its response is read.
+func (r *Request) isLong() bool { return len(r.Body) > maxInlineBodyBytes }
+
 // Response is a response whose header was read and whose body was not. Metadata
 // is decoded from the header. The caller must call Close.
 //
-// reusable is set if the connection can serve another request after a framed body.
+// reusable is set if the connection can serve another request after a framed body, and
+// longRequest if the request was written concurrently.
 // writeResult receives the result of writing the request. stop unregisters the
 // function that closes the connection when the context of Send is done, and returns
 // false if that function has already started.
@@ -106,6 +110,7 @@
 	conn        *conn
 	sentAt      boottime.Time
 	reusable    bool
+	longRequest bool
 	framed      bool
 	writeResult <-chan error
 	stop        func() bool
@@ -225,6 +230,7 @@
 			Status: response.StatusCode, Header: response.Header, Metadata: metadata,
 			Length: response.ContentLength, Body: response.Body,
 			conn: c, writeResult: writeResult, reusable: reusable && !refused && !response.Close, framed: framed,
+			longRequest: request.isLong(),
 		}, nil
 	}
 }
@@ -291,21 +297,13 @@
 func (r *Response) Reused() bool { return r.conn.served > 0 }
 
 // Close ends the exchange. complete states that the body was read to its end. The
-// connection is returned to the pool only then, and only if the whole request was
-// written; otherwise it is closed.
+// connection is returned to the pool only then, and only if the endpoint has received the
+// whole request; otherwise it is closed.
 func (r *Response) Close(complete bool) {
 	r.closeOnce.Do(func() {
 		stopped := r.stop()
 		reusable := complete && stopped && r.reusable && r.framed && r.conn.reader.Buffered() == 0
-		if reusable {
-			select {
-			case err := <-r.writeResult:
-				reusable = err == nil
-			default:
-				reusable = false
-			}
-		}
-		if !reusable {
+		if !reusable || !r.received() {
 			r.conn.abort()
 			return
 		}
@@ -314,6 +312,24 @@
 	})
 }
 
+// received reports whether the endpoint has received the whole request. One that responds
+// before it has read a long body may read on, but it often resets the connection.
+func (r *Response) received() bool {
+	select {
+	case err := <-r.writeResult:
+		if err != nil {
+			return false
+		}
+	default:
+		return false
+	}
+	if !r.longRequest {
+		return true
+	}
+	acknowledged, err := r.conn.acknowledged()
+	return err == nil && acknowledged
+}
+
 // Stats returns how many connections were opened, how often one was reused, and
 // how many are idle.
 func (p *Pool) Stats() (dialed, reused, idle int64) {
@@ -330,7 +346,7 @@
 // larger one in the background.
 func (c *conn) startWrite(request *Request) <-chan error {
 	result := make(chan error, 1)
-	if len(request.Body) <= maxInlineBodyBytes {
+	if !request.isLong() {
 		result <- c.writeRequest(request)
 		return result
 	}
--- a/test/gateway/reset_test.go
+++ b/test/gateway/reset_test.go
@@ -36,10 +36,22 @@
 	return readResult(response)
 }
 
-// resetLater resets a connection some time after it has ended its half of it.
-func resetLater(conn net.Conn) {
+// endAndReset resets a connection some time after it has ended its half of it.
+func endAndReset(conn net.Conn) {
 	_ = conn.(*net.TCPConn).CloseWrite()
 	time.Sleep(resetDelay)
+	reset(conn)
+}
+
+// readOnAndReset reads some of a body, and resets the connection before its end.
+func readOnAndReset(conn net.Conn, request *http.Request) {
+	for until := time.Now().Add(resetDelay); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		_, _ = io.CopyN(io.Discard, request.Body, uploadBytes/256)
+	}
+	reset(conn)
+}
+
+func reset(conn net.Conn) {
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	_ = conn.Close()
 }
@@ -59,7 +71,7 @@
 			return
 		}
 		_, _ = io.WriteString(conn, unframedPart(request))
-		resetLater(conn)
+		endAndReset(conn)
 	}
 	c.registerScripted(newEarlyReplica(t, "d1", answer), "desk", 4, "ready")
 	c.registerScripted(newEarlyReplica(t, "m1", answer), "model", 4, "ready")
@@ -89,7 +101,7 @@
 		default:
 			rests.Add(1)
 			_, _ = io.WriteString(conn, unframedPart(request))
-			resetLater(conn)
+			endAndReset(conn)
 		}
 	}
 	for _, id := range []string{"m1", "m2"} {
@@ -108,9 +120,12 @@
 }
 
 // A body without a length that ends as it should is complete, also if it ends before the
-// request was read. So is one with a length or chunks whose connection is reset after it.
+// request was read. So is one with a length or chunks whose connection is reset after it. Each
+// request follows the last one at once.
 func TestEarlyResponsesAreDelivered(t *testing.T) {
 	const event = "id: 1\ndata: a\n\n"
+	length := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(event), event)
+	chunks := fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(event), event)
 	end := func(conn net.Conn, request *http.Request) {
 		_ = conn.(*net.TCPConn).CloseWrite()
 		_, _ = io.Copy(io.Discard, request.Body)
@@ -121,14 +136,21 @@
 		end        func(conn net.Conn, request *http.Request)
 	}{
 		{"unframed", "\r\n" + event, end},
-		{"length", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(event), event), end},
-		{"chunks", fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(event), event), end},
-		{"length, reset", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(event), event), func(conn net.Conn, _ *http.Request) { resetLater(conn) }},
-		{"chunks, reset", fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(event), event), func(conn net.Conn, _ *http.Request) { resetLater(conn) }},
+		{"length", length, end},
+		{"chunks", chunks, end},
+		{"length, end and reset", length, func(conn net.Conn, _ *http.Request) { endAndReset(conn) }},
+		{"chunks, end and reset", chunks, func(conn net.Conn, _ *http.Request) { endAndReset(conn) }},
+		// The connection must not be used for the next request.
+		{"length, reset", length, readOnAndReset},
+		{"chunks, reset", chunks, readOnAndReset},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := newCluster(t)
 			answer := func(conn net.Conn, request *http.Request) {
+				if request.ContentLength < uploadBytes {
+					_, _ = io.WriteString(conn, responseHead(request)+"Content-Length: 0\r\n\r\n")
+					return
+				}
 				_, _ = io.WriteString(conn, responseHead(request)+"Content-Type: text/event-stream\r\n"+test.rest)
 				test.end(conn, request)
 			}
