Share the listener of the tests of broken responses of backends

Cause: two new tests had the same loop that accepts connections. Change: one function for both; two comments say more plainly what they mean.

--- a/internal/endpoint/invalid_test.go
+++ b/internal/endpoint/invalid_test.go
@@ -36,14 +36,15 @@
 	})
 }
 
-// clientsGet returns what the clients get of a response with the request's ID in place of ID.
-func clientsGet(t *testing.T, response string) []string {
+// listen returns the address of a backend that answers one request on each connection, whose
+// body is not read yet, and closes it.
+func listen(t *testing.T, answer func(conn net.Conn, request *http.Request)) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -51,17 +52,26 @@
 				return
 			}
 			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", request.Header.Get(headerRequestID)))
+				answer(conn, request)
 			}
 			_ = conn.Close()
 		}
 	}()
+	return listener.Addr().String()
+}
+
+// clientsGet returns what the clients get of a response with the request's ID in place of ID.
+func clientsGet(t *testing.T, response string) []string {
+	t.Helper()
+	address := listen(t, func(conn net.Conn, request *http.Request) {
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(response, "ID", request.Header.Get(headerRequestID)))
+	})
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
 	transport := httpresponse.NewTransport(&http.Transport{})
 	defer transport.CloseIdleConnections()
-	address, httpClient := listener.Addr().String(), &http.Client{Transport: transport}
+	httpClient := &http.Client{Transport: transport}
 	plain, model := NewPlainClient(address, httpClient, 64<<20), NewModelClient(address, httpClient, 64<<20)
 	call := &usher.Call{Method: http.MethodPost, Path: "/v1/chat/completions", ContentType: "application/json", Body: []byte("{}")}
 
--- a/internal/endpoint/reset_test.go
+++ b/internal/endpoint/reset_test.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -20,33 +19,19 @@
 	const uploadBytes, resetDelay = 16 << 20, 30 * time.Millisecond
 	for _, ends := range []bool{false, true} {
 		t.Run(fmt.Sprint("end ", ends), func(t *testing.T) {
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer listener.Close()
-			go func() {
-				for {
-					conn, err := listener.Accept()
-					if err != nil {
-						return
-					}
-					if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: a\n\n", headerRequestID, request.Header.Get(headerRequestID))
-					}
-					if ends {
-						_ = conn.(*net.TCPConn).CloseWrite()
-					}
-					time.Sleep(resetDelay)
-					_ = conn.(*net.TCPConn).SetLinger(0)
-					_ = conn.Close()
+			address := listen(t, func(conn net.Conn, request *http.Request) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Type: text/event-stream\r\n\r\nid: 0\ndata: a\n\n", headerRequestID, request.Header.Get(headerRequestID))
+				if ends {
+					_ = conn.(*net.TCPConn).CloseWrite()
 				}
-			}()
+				time.Sleep(resetDelay)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			})
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			transport := &http.Transport{}
 			defer transport.CloseIdleConnections()
-			address, httpClient := listener.Addr().String(), &http.Client{Transport: transport}
+			httpClient := &http.Client{Transport: transport}
 			call := &usher.Call{Method: http.MethodPost, Path: "/v1/chat/completions", ContentType: "application/json", Body: make([]byte, uploadBytes)}
 			if answer, err := NewPlainClient(address, httpClient, 64<<20).Call(ctx, "r1", 1, call); err == nil {
 				t.Errorf("the plain service answered %+v", answer)
--- a/internal/httpresponse/framing.go
+++ b/internal/httpresponse/framing.go
@@ -1,10 +1,9 @@
 package httpresponse
 
-import (
-	"bytes"
-)
+import "bytes"
 
-// What FramingScanner looks for at the beginning of lines, and the longest of it.
+// What FramingScanner looks for at the beginning of lines, in any case. maxLineBytes is the length
+// of the longest.
 var (
 	http10                = []byte("HTTP/1.0 ")
 	transferEncodingField = []byte("transfer-encoding:")
--- a/internal/upstream/unframed.go
+++ b/internal/upstream/unframed.go
@@ -27,7 +27,7 @@
 
 // unframedBody is a body that ends with its connection. The kernel reports a reset only once,
 // to a read or to a write, and to no read after the other side has ended its half of the
-// connection. A read that gets io.EOF does therefore not show that there was no reset.
+// connection. So a read that gets io.EOF does not show that there was no reset.
 type unframedBody struct {
 	io.ReadCloser
 	conn        *conn
