Mend a data race of the test of the transport that scans responses

Both accesses are in the test's own server. Its handler writes a response and takes it off a slice after that; the client closes the connection as soon as it has read a faulty response, and the handler of its next connection reads the slice with nothing that orders the two. The product is not part of it.

The responses come from a channel now, each before it is written, and their number, order and the check are the same. A connection beyond the last response is closed, as before, where the handler panicked.

--- a/internal/httpresponse/framing_test.go
+++ b/internal/httpresponse/framing_test.go
@@ -43,8 +43,12 @@
 // connection.
 func TestTransportScansEachResponse(t *testing.T) {
 	const sound, faulty = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
-	responses := []string{sound, "HTTP/1.1 100 Continue\r\n\r\n" + sound, faulty, sound}
-	conns := make(chan net.Conn, len(responses))
+	responses := make(chan string, 4)
+	for _, response := range []string{sound, "HTTP/1.1 100 Continue\r\n\r\n" + sound, faulty, sound} {
+		responses <- response
+	}
+	close(responses)
+	conns := make(chan net.Conn, cap(responses))
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body)
 		conn, buffered, err := http.NewResponseController(w).Hijack()
@@ -54,9 +58,8 @@
 		}
 		conns <- conn
 		defer conn.Close()
-		for {
-			_, _ = io.WriteString(conn, responses[0])
-			responses = responses[1:]
+		for response := range responses {
+			_, _ = io.WriteString(conn, response)
 			if request, err = http.ReadRequest(buffered.Reader); err != nil {
 				return
 			}
