Close idle connections at the end of a stop whenever it comes

Callers got their answers; operators saw a failed stop.

drain.Server.Shutdown asked its context twice a round: first whether all connections without a request are to be closed, and after that whether to give up. If the context ended between the two, Shutdown gave up in a round that had kept the idle connections for the time that callers were told. Deadlines are often a multiple of the 20 ms between rounds, so the two come together more often than by chance.

The context is asked once a round now, so a round that gives up has closed what has no request.

The new test ends the context between the two and failed before, five of five: "Shutdown returned context canceled".

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -197,9 +197,12 @@
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
+		// ctx is asked once a round, so that Shutdown does not give up before a round that closes
+		// all that have no request.
+		ctxErr := ctx.Err()
 		now := time.Now()
 		idleSince, newSince := now.Add(-idleTime), now.Add(-max(idleTime, newConnGrace))
-		if ctx.Err() != nil {
+		if ctxErr != nil {
 			idleSince, newSince = now, now
 		}
 		// In this order: a connection that is accepted in between is counted.
@@ -211,8 +214,8 @@
 			}
 			return err
 		}
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if ctxErr != nil {
+			return ctxErr
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -423,3 +423,37 @@
 		t.Errorf("%d connections are open and %d were closed, want 0 and 1", open, closedIdle)
 	}
 }
+
+// expiringContext expires during the first call of Err, which still returns nil.
+type expiringContext struct {
+	context.Context
+	expire func()
+}
+
+func (c *expiringContext) Err() error {
+	defer c.expire()
+	return c.Context.Err()
+}
+
+// Idle connections are also closed if the stop ends between two checks of Shutdown.
+func TestShutdownClosesIdleConnectionsIfItEndsBetweenChecks(t *testing.T) {
+	fx := start(t, 0)
+	fx.SetIdleTime(time.Minute)
+	conn, reader := dialTCP(t, fx.address)
+	if _, err := exchange(conn, reader, "/a"); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	expire := sync.OnceFunc(func() {
+		if err := <-fx.ended; err != nil {
+			t.Errorf("Serve returned %v", err)
+		}
+		cancel()
+	})
+	if err := fx.Shutdown(&expiringContext{Context: ctx, expire: expire}); err != nil {
+		t.Errorf("Shutdown returned %v", err)
+	}
+	if open, closedIdle := fx.Connections(); open != 0 || closedIdle != 1 {
+		t.Errorf("%d connections are open and %d were closed, want 0 and 1", open, closedIdle)
+	}
+}
