Serve no call of a peer after the server of peers has ended

No caller saw anything; peers of a process that ended were still answered by it.

peerrpc.Server.Serve closes its listener and then all connections when its context ends, in a goroutine of its own, and returned as soon as the listener was closed. In the test the old process answered the next four calls of its peer on the connection that was not closed yet, so its successor at the same address heard of none. A connection that was accepted while the others were closed was not closed at all, and served.

Serve returns after all connections are closed now, and a connection that comes after that is closed at once.

--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -30,8 +30,9 @@
 	// memory is charged for messages that are read. It may be nil.
 	memory *intake.Budget
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	isClosed bool
 }
 
 // NewServer returns a server that accepts connections from the listener, and messages of at
@@ -58,11 +59,15 @@
 	return s.rpc.RegisterName(name, receiver)
 }
 
-// Serve accepts connections until ctx ends, then closes all of them. It waits where the
-// process or the system lacks resources for a connection; other errors of the listener
-// end it.
+// Serve accepts connections until ctx ends, then closes all of them and returns. It waits
+// where the process or the system lacks resources for a connection; other errors of the
+// listener end it.
 func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, s.closeAll)
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		s.closeAll()
+	})
 	defer stop()
 	delay := minAcceptPause
 	for {
@@ -72,6 +77,8 @@
 			delay = minAcceptPause
 			go s.serve(conn)
 		case ctx.Err() != nil:
+			// The listener is closed before the connections.
+			<-closed
 			return nil
 		case isTransient(err):
 			metrics.Add("acceptFailed", 1)
@@ -94,9 +101,10 @@
 }
 
 func (s *Server) serve(conn net.Conn) {
-	s.mu.Lock()
-	s.conns[conn] = struct{}{}
-	s.mu.Unlock()
+	if !s.track(conn) {
+		_ = conn.Close()
+		return
+	}
 	var holding *intake.Holding
 	if s.memory != nil {
 		holding = s.memory.HoldUnless(func() bool { return connlimit.IsUnread(conn) }, func() { _ = conn.Close() })
@@ -108,10 +116,22 @@
 	s.mu.Unlock()
 }
 
+// track makes closeAll close a connection, and returns false after closeAll.
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed {
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
 func (s *Server) closeAll() {
 	_ = s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isClosed = true
 	for conn := range s.conns {
 		_ = conn.Close()
 	}
