--- a/internal/upstream/unframed.go
+++ b/internal/upstream/unframed.go
@@ -10,7 +10,7 @@
 )
 
 // ackPollInterval is the delay between checks of whether the endpoint has acknowledged a
-// request. It is in the order of a round trip within a region.
+// request.
 const ackPollInterval = 2 * time.Millisecond
 
 // BrokenEndError is the error of reading an unframed body whose connection ended, but not
@@ -61,8 +61,9 @@
 	return io.EOF
 }
 
-// awaitAck waits until the other side has acknowledged all that was written. It returns an
-// error if the connection was reset, also if that was reported to an earlier call.
+// awaitAck waits until the other side has acknowledged all that was written, or until the
+// connection is closed, as it is when the context of Send is done. It returns an error if the
+// connection was closed or reset, also if a reset was reported to an earlier call.
 func (c *conn) awaitAck() error {
 	for {
 		if acknowledged, err := c.acknowledged(); acknowledged || err != nil {
@@ -81,6 +82,7 @@
 		return true, nil
 	case err != nil:
 		return false, err
+	// x/sys names the states of TCP only as those of BPF, which are the same.
 	case info.State == unix.BPF_TCP_CLOSE:
 		return false, syscall.ECONNRESET
 	}
